--- /dev/null
+++ b/internal/errkind/errkind_test.go
@@ -0,0 +1,43 @@
+package errkind
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+)
+
+// A kind without a table entry would answer status 0 and claim outcome Unknown without anyone having decided so.
+func TestEveryKindHasAnAnswer(t *testing.T) {
+	seen := map[string]Kind{}
+	for k := Kind(0); k < kindCount; k++ {
+		a := k.Answer()
+		if a.Name == "" || a.Status < 400 || a.Status > 599 {
+			t.Errorf("kind %d has the incomplete entry %+v", k, a)
+		}
+		if other, dup := seen[a.Name]; dup {
+			t.Errorf("kinds %d and %d share the name %q", other, k, a.Name)
+		}
+		seen[a.Name] = k
+		if back, ok := Parse(a.Name); !ok || back != k {
+			t.Errorf("Parse(%q) = %v, %v", a.Name, back, ok)
+		}
+		if a.RetryElsewhere && a.Outcome != NotRun {
+			t.Errorf("%s allows a retry although the request may have run", a.Name)
+		}
+	}
+}
+
+// An unknown name must never turn into a promise that the request was not run.
+func TestUnknownNameIsNotNotRun(t *testing.T) {
+	k, ok := Parse("no such kind")
+	if ok || k.Answer().Outcome != Unknown {
+		t.Errorf("Parse of an unknown name gave %v, %v", k, ok)
+	}
+}
+
+func TestOfFindsWrappedKind(t *testing.T) {
+	err := fmt.Errorf("outer: %w", Wrap(SlotsFull, errors.New("cause"), "b1"))
+	if Of(err) != SlotsFull || Of(errors.New("plain")) != Internal {
+		t.Errorf("Of = %v and %v", Of(err), Of(errors.New("plain")))
+	}
+}
