Add the request path: hop protocol, home, entry and a backend server stand-in

Cause: nothing served requests yet. Change: entry and home forward over HTTP/2 with length and digest trailers; the last byte of a body is held back until the trailers match, because a receiver that counts Content-Length would take a body with a wrong digest for a whole one. Ruled out: checking the digest only after the copy (the receiver already has all bytes by then).

--- /dev/null
+++ b/internal/daemon/path_test.go
@@ -0,0 +1,229 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/entry"
+	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/home"
+	"github.com/cowsliprun/cowsliprun/internal/standin/backend"
+)
+
+const testKey = "test-key"
+
+// path is one entry, one home a backend server, over real loopback sockets.
+type path struct {
+	entry    *httptest.Server
+	homes    []*home.Home
+	backends []*backend.Server
+}
+
+func newPath(t *testing.T, backends int) *path {
+	t.Helper()
+	p := &path{}
+	digest := sha256.Sum256([]byte(testKey))
+	svc := contract.Service{Service: "stock"}
+	var vms []contract.VM
+	for i := range backends {
+		b := backend.New(fmt.Sprintf("b%d", i), 1)
+		srv := httptest.NewServer(b.Handler())
+		t.Cleanup(srv.Close)
+		h := home.New(home.Options{VM: fmt.Sprintf("vm%d", i)})
+		address := serveHTTP2(t, h)
+		p.homes, p.backends = append(p.homes, h), append(p.backends, b)
+		vms = append(vms, contract.VM{VM: fmt.Sprintf("vm%d", i), DataCentre: "dc1", PeerAddress: address})
+		svc.BackendServers = append(svc.BackendServers, contract.BackendServer{ID: fmt.Sprintf("b%d", i), VM: fmt.Sprintf("vm%d", i), Address: srv.Listener.Addr().String(), Slots: 2})
+	}
+	c := contract.Contract{
+		Customer: "grocer", APIKeySHA256: []string{hex.EncodeToString(digest[:])},
+		Routes: []contract.Route{{PathPrefix: "/", Service: "stock"}},
+		Limits: contract.Limits{RatePerSecond: 1e6, Concurrency: 1000, MaxRequestBytes: 8 << 20},
+	}
+	snapshot := catalog.Build([]catalog.Source{{Revision: 1, Documents: contract.Documents{
+		Contracts: []contract.Contract{c}, Services: []contract.Service{svc}, VMs: vms,
+		DataCentres: []contract.DataCentre{{DataCentre: "dc1", Region: "r1"}},
+	}}})
+	for _, h := range p.homes {
+		h.Apply(snapshot)
+	}
+	e := entry.New(entry.Options{VM: "vm0", Snapshot: func() *catalog.Snapshot { return snapshot }})
+	p.entry = httptest.NewServer(e.Handler())
+	t.Cleanup(p.entry.Close)
+	return p
+}
+
+func serveHTTP2(t *testing.T, h http.Handler) string {
+	t.Helper()
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := &http.Server{Handler: h, Protocols: protocols}
+	go srv.Serve(listener) //nolint:errcheck // ends with Close
+	t.Cleanup(func() { srv.Close() })
+	return listener.Addr().String()
+}
+
+func (p *path) do(t *testing.T, method, target string, body io.Reader) (*http.Response, []byte, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), method, p.entry.URL+target, body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, data, err
+}
+
+func (p *path) setFaults(f backend.Faults) {
+	for _, b := range p.backends {
+		b.SetFaults(f)
+	}
+}
+
+// Guards the whole path: caller, entry, home, backend server and back, with a query and an echoed header untouched.
+func TestLookupReturnsWholeAnswer(t *testing.T) {
+	p := newPath(t, 2)
+	resp, body, err := p.do(t, "GET", "/stock/7?size=2", nil)
+	if err != nil || resp.StatusCode != 200 || resp.Header.Get(forward.HeaderOutcome) != "answered" {
+		t.Fatalf("%v, %v, %s", err, resp, body)
+	}
+	var answer struct{ Path string }
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Path != "/stock/7" {
+		t.Fatalf("%v in %s", err, body)
+	}
+}
+
+// A cut or altered answer must never reach a caller as a whole one. A lookup is tried again, so the caller gets either a
+// whole answer of another try or a clear error.
+func TestCutOrWrongAnswersAreNeverPassedAsWhole(t *testing.T) {
+	for name, f := range map[string]backend.Faults{"cut": {CutShare: 1}, "wrong": {WrongShare: 1}} {
+		t.Run(name, func(t *testing.T) {
+			p := newPath(t, 2)
+			p.setFaults(f)
+			resp, body, err := p.do(t, "GET", "/stock/7", nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != 502 || resp.Header.Get(forward.HeaderOutcome) != "unknown" {
+				t.Fatalf("%d %v %s", resp.StatusCode, resp.Header, body)
+			}
+		})
+	}
+}
+
+// A streamed answer that is cut must end as a broken connection.
+func TestCutStreamEndsAsBrokenConnection(t *testing.T) {
+	p := newPath(t, 1)
+	p.setFaults(backend.Faults{CutShare: 1})
+	_, body, err := p.do(t, "GET", "/size/4000000", nil)
+	if err == nil {
+		t.Fatalf("a cut answer of %d bytes looks whole", len(body))
+	}
+}
+
+// Large bodies must arrive unchanged in both directions.
+func TestLargeBodiesAreWhole(t *testing.T) {
+	p := newPath(t, 1)
+	_, body, err := p.do(t, "GET", "/size/5000000", nil)
+	if err != nil || len(body) != 5000000 {
+		t.Fatalf("%d bytes, %v", len(body), err)
+	}
+	upload := bytes.Repeat([]byte("catalogue"), 500000)
+	for name, reader := range map[string]io.Reader{"known length": bytes.NewReader(upload), "chunked": io.MultiReader(bytes.NewReader(upload))} {
+		resp, body, err := p.do(t, "PUT", "/catalogue", reader)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%s: %v %s", name, err, body)
+		}
+		digest := sha256.Sum256(upload)
+		if !strings.Contains(string(body), hex.EncodeToString(digest[:])) {
+			t.Errorf("%s: the backend server received another body: %s", name, body)
+		}
+	}
+}
+
+// A cut upload must not be taken for a whole one by the backend server, whether or not its length was declared.
+func TestCutUploadDoesNotRun(t *testing.T) {
+	p := newPath(t, 1)
+	for _, framing := range []string{"Content-Length: 3000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n186A0\r\n"} {
+		conn, err := net.Dial("tcp", p.entry.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprintf(conn, "PUT /manifest HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\n%s%s", testKey, framing, strings.Repeat("x", 100000))
+		conn.(*net.TCPConn).CloseWrite() //nolint:errcheck // the connection was opened above
+		io.Copy(io.Discard, conn)        //nolint:errcheck // waits until the daemon has closed the connection
+		conn.Close()
+	}
+	if n := p.backends[0].Stats().Executions["/manifest"]; n != 0 {
+		t.Errorf("a cut upload ran %d times", n)
+	}
+}
+
+// The size limit of the contract holds for declared and for undeclared lengths.
+func TestRequestTooLargeIsRefused(t *testing.T) {
+	p := newPath(t, 1)
+	upload := make([]byte, 9<<20)
+	for name, reader := range map[string]io.Reader{"known length": bytes.NewReader(upload), "chunked": io.MultiReader(bytes.NewReader(upload))} {
+		resp, body, err := p.do(t, "PUT", "/catalogue", reader)
+		if err != nil || resp.StatusCode != 413 {
+			t.Errorf("%s: %v %v %s", name, err, resp, body)
+		}
+	}
+	if n := p.backends[0].Stats().Executions["/catalogue"]; n != 0 {
+		t.Errorf("a refused upload ran %d times", n)
+	}
+}
+
+// A draining home refuses as not run, and the entry finds another one, also for operations that are not safe to repeat.
+func TestDrainingHomeIsAvoided(t *testing.T) {
+	p := newPath(t, 3)
+	p.homes[0].BeginDrain()
+	p.homes[1].BeginDrain()
+	for range 20 {
+		resp, body, err := p.do(t, "POST", "/orders", strings.NewReader("order"))
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("%v %s", err, body)
+		}
+	}
+	if n := p.backends[2].Stats().Executions["/orders"]; n != 20 {
+		t.Errorf("%d executions of 20 orders", n)
+	}
+}
+
+// An operation that is not safe to repeat must not be tried again once it was handed over.
+func TestFailedOperationIsNotRepeated(t *testing.T) {
+	p := newPath(t, 3)
+	p.setFaults(backend.Faults{CutShare: 1})
+	resp, body, err := p.do(t, "POST", "/orders", strings.NewReader("order"))
+	if err != nil || resp.StatusCode != 502 || resp.Header.Get(forward.HeaderOutcome) != "unknown" {
+		t.Fatalf("%v %v %s", err, resp, body)
+	}
+	total := 0
+	for _, b := range p.backends {
+		total += b.Stats().Executions["/orders"]
+	}
+	if total != 1 {
+		t.Errorf("%d executions of one order", total)
+	}
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/go-chi/chi/v5"
+)
+
+// Options configures an Entry.
+type Options struct {
+	// VM is the id of the VM that the daemon runs on.
+	VM string
+	// Snapshot returns the configuration in force, or nil when there is none.
+	Snapshot func() *catalog.Snapshot
+	// Transport connects to home daemons. Default: forward.NewPeerTransport(nil).
+	Transport http.RoundTripper
+}
+
+// Entry is the callers' side of a daemon.
+type Entry struct {
+	vm        string
+	snapshot  func() *catalog.Snapshot
+	transport http.RoundTripper
+}
+
+// New returns an Entry.
+func New(o Options) *Entry {
+	if o.Transport == nil {
+		o.Transport = forward.NewPeerTransport(nil)
+	}
+	return &Entry{vm: o.VM, snapshot: o.Snapshot, transport: o.Transport}
+}
+
+// Handler returns the handler of the callers' listener.
+func (e *Entry) Handler() http.Handler {
+	router := chi.NewRouter()
+	router.Handle("/*", http.HandlerFunc(e.serve))
+	return router
+}
+
+// call is one request of a caller with the parts of the contract that apply to it.
+type call struct {
+	id         string
+	customer   *catalog.Customer
+	route      *catalog.Route
+	service    *catalog.Service
+	repeatable bool
+	body       *upload
+}
+
+func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
+	id := forward.NewRequestID()
+	w.Header().Set(forward.HeaderRequestID, id)
+	c, err := e.admit(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	c.id = id
+	ctx, cancel := context.WithTimeout(r.Context(), e.deadline(r, c.route))
+	defer cancel()
+	if err := e.forward(ctx, w, r, c); err != nil {
+		writeError(w, err)
+	}
+}
+
+// admit finds the customer, the route and the service, and checks the limits of the contract.
+func (e *Entry) admit(r *http.Request) (*call, error) {
+	snapshot := e.snapshot()
+	if snapshot == nil {
+		return nil, errkind.New(errkind.NoConfiguration, "this daemon has no configuration yet")
+	}
+	customer := snapshot.CustomerByKey(catalog.DigestOf(apiKey(r)))
+	if customer == nil {
+		return nil, errkind.New(errkind.Unauthenticated, "no contract has this API key; send it as Authorization: Bearer KEY")
+	}
+	route := customer.Route(r.URL.Path)
+	if route == nil {
+		return nil, errkind.New(errkind.NoRoute, "the contract of "+customer.Name+" has no route for this path")
+	}
+	if !route.Allows(r.Method) {
+		return nil, errkind.New(errkind.MethodNotAllowed, "the route "+route.PathPrefix+" of the contract of "+customer.Name+" does not allow "+r.Method)
+	}
+	service := snapshot.Service(route.Service)
+	if service == nil || len(service.BackendServers) == 0 {
+		return nil, errkind.New(errkind.NoBackend, "service "+route.Service+" has no backend servers")
+	}
+	body, err := newUpload(r, customer)
+	if err != nil {
+		return nil, err
+	}
+	return &call{customer: customer, route: route, service: service, repeatable: route.Repeatable(r.Method), body: body}, nil
+}
+
+func apiKey(r *http.Request) string {
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(key)
+}
+
+// deadline returns the time that the request may take: the contract's, or the caller's when that is shorter.
+func (e *Entry) deadline(r *http.Request, route *catalog.Route) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(forward.HeaderCallerTimeout), 10, 32)
+	if err != nil || ms <= 0 {
+		return route.Deadline
+	}
+	return min(route.Deadline, time.Duration(ms)*time.Millisecond)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	var e *errkind.Error
+	if !errors.As(err, &e) {
+		e = errkind.Wrap(errkind.Internal, err, "")
+	}
+	if e.Kind == errkind.RequestBroken {
+		// The caller's own upload broke, so there is no one to answer; a clean response could be taken for a whole exchange.
+		panic(http.ErrAbortHandler)
+	}
+	forward.WriteError(w, e)
+}
--- /dev/null
+++ b/internal/entry/try.go
@@ -0,0 +1,146 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	"github.com/cowsliprun/cowsliprun/internal/forward"
+)
+
+// bufferedResponseBytes is the largest response that is read whole before the caller gets its header, so that a broken path
+// can still end in a clear error or another try.
+const bufferedResponseBytes = 64 << 10
+
+// try is one attempt to have a request served by one backend server.
+type try struct {
+	call      *call
+	backend   *catalog.BackendServer
+	connected atomic.Bool
+	response  *http.Response
+	body      io.Reader
+}
+
+// do sends the request and waits for the response header, and for the whole body when it is small.
+func (t *try) do(ctx context.Context, transport http.RoundTripper, r *http.Request) error {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) }}
+	resp, err := transport.RoundTrip(t.request(httptrace.WithClientTrace(ctx, trace), r))
+	if err != nil {
+		return t.classify(ctx, err)
+	}
+	t.response = resp
+	if err := t.check(ctx); err != nil {
+		resp.Body.Close()
+		return err
+	}
+	return nil
+}
+
+func (t *try) request(ctx context.Context, r *http.Request) *http.Request {
+	u := &url.URL{Scheme: "http", Host: t.backend.VM.PeerAddress, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
+	out := (&http.Request{
+		Method: r.Method, URL: u, Host: r.Host, Header: http.Header{}, Proto: "HTTP/2.0", ProtoMajor: 2,
+	}).WithContext(ctx)
+	forward.CopyHeaders(out.Header, r.Header)
+	out.Header.Del("Authorization") // the API key is for the entry only
+	h := out.Header
+	h.Set(forward.HeaderBackend, t.backend.ID)
+	h.Set(forward.HeaderService, t.backend.Service)
+	h.Set(forward.HeaderCustomer, t.call.customer.Name)
+	h.Set(forward.HeaderRequestID, t.call.id)
+	h.Set(forward.HeaderPriority, strconv.Itoa(t.call.customer.Priority))
+	if deadline, ok := ctx.Deadline(); ok {
+		forward.SetDeadline(h, time.Until(deadline))
+	}
+	if h.Get("User-Agent") == "" {
+		h.Set("User-Agent", "")
+	}
+	t.attachBody(out)
+	return out
+}
+
+func (t *try) attachBody(out *http.Request) {
+	body := t.call.body
+	if body.length == 0 {
+		out.Body = http.NoBody
+		return
+	}
+	out.ContentLength = body.length
+	if !body.buffered {
+		// The home asks for the body only after it has a slot, so a refused upload can be tried elsewhere.
+		out.Header.Set("Expect", "100-continue")
+	}
+	forward.AttachOutgoing(out, body.reader())
+}
+
+func (t *try) classify(ctx context.Context, err error) error {
+	if errors.Is(t.call.body.failed, errTooLarge) {
+		return errkind.New(errkind.RequestTooLarge, "the streamed body passed maxRequestBytes of the contract of "+t.call.customer.Name)
+	}
+	if t.call.body.failed != nil {
+		return errkind.Wrap(errkind.RequestBroken, t.call.body.failed, "the request body was cut")
+	}
+	if !t.connected.Load() {
+		return errkind.Wrap(errkind.HomeUnreachable, err, "no connection to the daemon of VM "+t.backend.VM.ID)
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return errkind.Wrap(errkind.DeadlineExceeded, err, "no response within the deadline")
+	}
+	return errkind.Wrap(errkind.PathBroken, err, "the connection to the daemon of VM "+t.backend.VM.ID+" broke")
+}
+
+// check accepts only the whole answer to this very request.
+func (t *try) check(ctx context.Context) error {
+	resp := t.response
+	if got := resp.Header.Get(forward.HeaderRequestID); got != t.call.id {
+		return errkind.New(errkind.PathBroken, "the response belongs to another request")
+	}
+	if e := forward.ErrorOf(resp); e != nil {
+		return e
+	}
+	t.body = resp.Body
+	if hasBody(resp) {
+		t.body = forward.NewIncoming(resp.Body, func() http.Header { return resp.Trailer })
+	}
+	if resp.ContentLength < 0 || resp.ContentLength > bufferedResponseBytes || !hasBody(resp) {
+		return nil
+	}
+	whole := make([]byte, 0, resp.ContentLength)
+	buffer := bytes.NewBuffer(whole)
+	if _, err := buffer.ReadFrom(t.body); err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return errkind.Wrap(errkind.DeadlineExceeded, err, "the response was not whole within the deadline")
+		}
+		return errkind.Wrap(errkind.PathBroken, err, "the response was cut between daemons")
+	}
+	t.body = buffer
+	return nil
+}
+
+func hasBody(resp *http.Response) bool {
+	return resp.Request.Method != http.MethodHead && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified
+}
+
+// pass hands the response to the caller. A response that breaks on the way ends as a broken connection.
+func (t *try) pass(w http.ResponseWriter) {
+	defer t.response.Body.Close()
+	forward.CopyHeaders(w.Header(), t.response.Header)
+	w.Header().Set(forward.HeaderOutcome, errkind.Answered.String())
+	w.Header().Set(forward.HeaderBackend, t.backend.ID)
+	w.WriteHeader(t.response.StatusCode)
+	if !hasBody(t.response) {
+		return
+	}
+	if err := forward.Copy(w, t.body, nil); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/entry/upload.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+)
+
+// bufferedUploadBytes is the largest request body that is kept for a second try.
+const bufferedUploadBytes = 64 << 10
+
+// upload is the request body of a caller. A small one is held in memory, so that it can be sent again; a larger one streams
+// and can be sent again only while no byte of it was read.
+type upload struct {
+	whole    []byte
+	buffered bool
+	stream   io.ReadCloser
+	length   int64
+	limit    int64
+	customer string
+	touched  bool
+	// failed is the error of the caller's side.
+	failed error
+}
+
+func newUpload(r *http.Request, customer *catalog.Customer) (*upload, error) {
+	u := &upload{length: r.ContentLength, limit: customer.Limits.MaxRequestBytes, customer: customer.Name}
+	if r.ContentLength > u.limit {
+		return nil, u.tooLarge()
+	}
+	if r.ContentLength > bufferedUploadBytes {
+		u.stream = r.Body
+		return u, nil
+	}
+	if r.ContentLength == 0 || r.Body == nil {
+		u.buffered, u.length = true, 0
+		return u, nil
+	}
+	return u, u.buffer(r.Body)
+}
+
+// buffer reads a small body whole. A chunked body that turns out larger becomes a stream that starts with what was read.
+func (u *upload) buffer(body io.ReadCloser) error {
+	head, err := io.ReadAll(io.LimitReader(body, bufferedUploadBytes+1))
+	if err != nil {
+		return errkind.Wrap(errkind.RequestBroken, err, "the request body was cut")
+	}
+	if int64(len(head)) > u.limit {
+		return u.tooLarge()
+	}
+	if len(head) <= bufferedUploadBytes {
+		u.whole, u.buffered, u.length = head, true, int64(len(head))
+		return nil
+	}
+	u.stream = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(head), body), body}
+	return nil
+}
+
+func (u *upload) tooLarge() error {
+	return errkind.New(errkind.RequestTooLarge, fmt.Sprintf("maxRequestBytes of the contract of %s is %d", u.customer, u.limit))
+}
+
+// repeatable reports whether the body can be sent from its start.
+func (u *upload) repeatable() bool { return u.buffered || !u.touched }
+
+// reader returns the body for one try.
+func (u *upload) reader() io.ReadCloser {
+	if u.buffered {
+		return io.NopCloser(bytes.NewReader(u.whole))
+	}
+	return &streamReader{upload: u, left: u.limit}
+}
+
+// errTooLarge ends a streamed body that passes the contract's limit.
+var errTooLarge = errors.New("request body exceeds the limit of the contract")
+
+// streamReader reads a streamed body and enforces the size limit on bodies without a declared length.
+type streamReader struct {
+	upload *upload
+	left   int64
+}
+
+func (s *streamReader) Read(p []byte) (int, error) {
+	s.upload.touched = true
+	n, err := s.upload.stream.Read(p)
+	s.left -= int64(n)
+	if s.left < 0 {
+		s.upload.failed = errTooLarge
+		return 0, errTooLarge
+	}
+	if err != nil && err != io.EOF {
+		s.upload.failed = err
+	}
+	return n, err
+}
+
+// Close leaves the caller's body to net/http, because a refused try may be followed by another one.
+func (s *streamReader) Close() error { return nil }
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -27,6 +27,7 @@
 	Shed
 	NoConfiguration
 	NoBackend
+	NotHome
 	SlotsFull
 	Draining
 	Ejected
@@ -98,6 +99,7 @@
 	Shed:                {Name: "shed", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	NoConfiguration:     {Name: "no_configuration", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	NoBackend:           {Name: "no_backend", Status: 503, Outcome: NotRun, RetryAfter: time.Second},
+	NotHome:             {Name: "not_home", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	SlotsFull:           {Name: "slots_full", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	Draining:            {Name: "draining", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	Ejected:             {Name: "ejected", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
--- /dev/null
+++ b/internal/forward/headers.go
@@ -0,0 +1,128 @@
+package forward
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+)
+
+// Headers and trailers of the hop protocol.
+const (
+	HeaderBackend     = "Cowslip-Backend"
+	HeaderService     = "Cowslip-Service"
+	HeaderCustomer    = "Cowslip-Customer"
+	HeaderRequestID   = "Cowslip-Request-Id"
+	HeaderDeadline    = "Cowslip-Deadline-Ms"
+	HeaderPriority    = "Cowslip-Priority"
+	HeaderBaseline    = "Cowslip-Baseline"
+	HeaderState       = "Cowslip-State"
+	HeaderServiceTime = "Cowslip-Service-Time-Us"
+	HeaderOutcome     = "Cowslip-Outcome"
+	HeaderErrorKind   = "Cowslip-Error-Kind"
+	HeaderRepeatable  = "Cowslip-Repeatable"
+	HeaderOperation   = "Cowslip-Operation"
+	HeaderEntry       = "Cowslip-Entry"
+	// HeaderCallerTimeout lets a caller shorten the deadline of its contract, in milliseconds.
+	HeaderCallerTimeout = "Cowslip-Timeout-Ms"
+	// HeaderOperationKey carries an issued key to the caller.
+	HeaderOperationKey = "Cowslip-Operation-Key"
+	// HeaderIdempotencyKey carries the key back from the caller.
+	HeaderIdempotencyKey = "Idempotency-Key"
+
+	TrailerLength = "Cowslip-Body-Length"
+	TrailerDigest = "Cowslip-Body-Xxh64"
+)
+
+// internalPrefix marks the headers of the system. Callers and backend servers cannot set them.
+const internalPrefix = "Cowslip-"
+
+// hopByHop lists the headers of RFC 9110 section 7.6.1 that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// CopyHeaders adds to dst all end-to-end headers of src, except those of the system.
+func CopyHeaders(dst, src http.Header) {
+	dropped := connectionOptions(src)
+	for name, values := range src {
+		if dropped[name] || strings.HasPrefix(name, internalPrefix) {
+			continue
+		}
+		dst[name] = append(dst[name], values...)
+	}
+}
+
+func connectionOptions(h http.Header) map[string]bool {
+	dropped := make(map[string]bool, len(hopByHop))
+	for _, name := range hopByHop {
+		dropped[name] = true
+	}
+	for _, line := range h["Connection"] {
+		for option := range strings.SplitSeq(line, ",") {
+			dropped[textproto.CanonicalMIMEHeaderKey(textproto.TrimString(option))] = true
+		}
+	}
+	return dropped
+}
+
+// NewRequestID returns 128 random bits in hex.
+func NewRequestID() string {
+	var b [16]byte
+	rand.Read(b[:]) // crypto/rand.Read never fails since Go 1.24.
+	return hex.EncodeToString(b[:])
+}
+
+// SetDeadline writes the time that remains. Less than a millisecond is written as 1, because 0 would mean no time.
+func SetDeadline(h http.Header, remaining time.Duration) {
+	h.Set(HeaderDeadline, strconv.FormatInt(max(remaining.Milliseconds(), 1), 10))
+}
+
+// Deadline returns the time that remains according to the header, and false when the header is missing or malformed.
+func Deadline(h http.Header) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(h.Get(HeaderDeadline), 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+// WriteError answers with the table entry of the error's kind. The body is one line of text for the caller.
+func WriteError(w http.ResponseWriter, e *errkind.Error) {
+	answer := e.Kind.Answer()
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set(HeaderOutcome, answer.Outcome.String())
+	h.Set(HeaderErrorKind, answer.Name)
+	if answer.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(answer.RetryAfter.Seconds())))
+	}
+	text := answer.Name
+	if e.Detail != "" {
+		text += ": " + e.Detail
+	}
+	text += " (outcome " + answer.Outcome.String() + ")\n"
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(answer.Status)
+	w.Write([]byte(text)) //nolint:errcheck // the caller is gone when this fails
+}
+
+// ErrorOf returns the error that a home reported in its response, or nil when the response is a backend server's.
+func ErrorOf(resp *http.Response) *errkind.Error {
+	switch resp.Header.Get(HeaderOutcome) {
+	case errkind.Answered.String():
+		return nil
+	case errkind.NotRun.String(), errkind.Unknown.String():
+		kind, _ := errkind.Parse(resp.Header.Get(HeaderErrorKind))
+		return errkind.New(kind, "reported by the home daemon")
+	default:
+		return errkind.New(errkind.PathBroken, "the response of the home daemon has no outcome")
+	}
+}
--- /dev/null
+++ b/internal/forward/transport.go
@@ -0,0 +1,55 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// Time limits of connections between daemons.
+const (
+	dialTimeout = time.Second
+	// A connection without traffic from the other side for pingAfter is tested, and closed when the test is not answered within
+	// pingTimeout. This ends connections across a one-way partition, which TCP alone keeps for many minutes.
+	pingAfter   = 2 * time.Second
+	pingTimeout = 2 * time.Second
+	idleTimeout = 90 * time.Second
+)
+
+// DialFunc opens a connection. Tests replace it to count bytes or to cut connections.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewPeerTransport returns the HTTP/2 transport for requests to other daemons.
+func NewPeerTransport(dial DialFunc) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		DialContext:           dial,
+		Protocols:             protocols,
+		DisableCompression:    true,
+		IdleConnTimeout:       idleTimeout,
+		ExpectContinueTimeout: time.Hour, // the request's own deadline applies
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  pingAfter,
+			PingTimeout:      pingTimeout,
+			WriteByteTimeout: pingAfter + pingTimeout,
+		},
+	}
+}
+
+// NewBackendTransport returns the HTTP/1.1 transport from a home to its own backend servers.
+func NewBackendTransport() *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		Protocols:           protocols,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     10 * time.Second,
+	}
+}
--- /dev/null
+++ b/internal/home/exchange.go
@@ -0,0 +1,218 @@
+package home
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"hash"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	"github.com/cowsliprun/cowsliprun/internal/forward"
+)
+
+// bufferedResponseBytes is the largest response that is read whole before its header is passed on. A backend server that cuts
+// such a response causes a clear error, which the entry may retry, in place of a broken connection.
+const bufferedResponseBytes = 64 << 10
+
+// exchange is one request to a backend server.
+type exchange struct {
+	transport http.RoundTripper
+	address   string
+	// handedOver is set once a connection was obtained: from then on bytes may have reached the backend server.
+	handedOver atomic.Bool
+	started    time.Time
+	// serviceTime is the time from the start to the response header, or to the whole body of a buffered response.
+	serviceTime time.Duration
+	response    *http.Response
+	// whole is the body of a buffered response.
+	whole []byte
+	// requestErr is the error of the request body, when reading it failed.
+	requestErr error
+}
+
+// requestBody notes an error of the caller's side, so that it is not taken for a fault of the backend server.
+type requestBody struct {
+	io.ReadCloser
+	exchange *exchange
+}
+
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil && err != io.EOF {
+		b.exchange.requestErr = err
+	}
+	return n, err
+}
+
+// send forwards r and waits for the response header. The error's kind tells whether the request was handed over.
+func (x *exchange) send(ctx context.Context, r *http.Request, body io.ReadCloser) error {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.handedOver.Store(true) }}
+	out := x.request(httptrace.WithClientTrace(ctx, trace), r, body)
+	x.started = time.Now()
+	resp, err := x.transport.RoundTrip(out)
+	x.serviceTime = time.Since(x.started)
+	if err != nil {
+		return x.classify(ctx, err)
+	}
+	x.response = resp
+	if err := x.checkFraming(); err != nil {
+		resp.Body.Close()
+		return err
+	}
+	return x.bufferSmall(ctx)
+}
+
+func (x *exchange) request(ctx context.Context, r *http.Request, body io.ReadCloser) *http.Request {
+	target := &url.URL{Scheme: "http", Host: x.address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
+	out := (&http.Request{
+		Method: r.Method, URL: target, Host: r.Host, Header: http.Header{}, ContentLength: r.ContentLength,
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}).WithContext(ctx)
+	forward.CopyHeaders(out.Header, r.Header)
+	if deadline, ok := ctx.Deadline(); ok {
+		forward.SetDeadline(out.Header, time.Until(deadline))
+	}
+	out.Header.Set(forward.HeaderRequestID, r.Header.Get(forward.HeaderRequestID))
+	if out.Header.Get("User-Agent") == "" {
+		out.Header.Set("User-Agent", "") // an empty value keeps net/http from adding its own
+	}
+	// A body without GetBody keeps net/http from repeating the request by itself after a broken connection. A repeat is the
+	// entry's decision, under the contract's budget.
+	out.Body = &requestBody{ReadCloser: body, exchange: x}
+	if r.ContentLength == 0 {
+		out.ContentLength = 0
+		out.Body = &requestBody{ReadCloser: io.NopCloser(bytes.NewReader(nil)), exchange: x}
+	}
+	return out
+}
+
+func (x *exchange) classify(ctx context.Context, err error) error {
+	if !x.handedOver.Load() {
+		if ctx.Err() != nil {
+			return errkind.Wrap(errkind.DeadlineBeforeRun, err, "the deadline passed before a connection was ready")
+		}
+		return errkind.Wrap(errkind.BackendUnreachable, err, "no connection to the backend server")
+	}
+	if x.requestErr != nil {
+		return errkind.Wrap(errkind.RequestBroken, x.requestErr, "the request body was cut")
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return errkind.Wrap(errkind.DeadlineExceeded, err, "the backend server did not respond in time")
+	}
+	return errkind.Wrap(errkind.BackendBroken, err, "the backend server closed the connection")
+}
+
+// checkFraming refuses a response whose end cannot be told from a cut: HTTP/1.0 style bodies that end with the connection.
+func (x *exchange) checkFraming() error {
+	resp := x.response
+	bodyless := resp.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
+	if bodyless || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
+		return nil
+	}
+	return errkind.New(errkind.AnswerInvalid, "the response has neither a length nor chunked encoding, so its end cannot be checked")
+}
+
+func (x *exchange) bufferSmall(ctx context.Context) error {
+	resp := x.response
+	if resp.ContentLength < 0 || resp.ContentLength > bufferedResponseBytes || resp.Request.Method == http.MethodHead {
+		return nil
+	}
+	whole := make([]byte, resp.ContentLength)
+	_, err := io.ReadFull(resp.Body, whole)
+	resp.Body.Close()
+	x.serviceTime = time.Since(x.started)
+	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return errkind.Wrap(errkind.DeadlineExceeded, err, "the response was not whole in time")
+		}
+		return errkind.Wrap(errkind.AnswerInvalid, err, "the response was cut")
+	}
+	x.whole = whole
+	digest := newContentDigest(resp.Header)
+	digest.write(whole)
+	return digest.check()
+}
+
+// contentDigest checks the Content-Digest field of RFC 9530 (sha-256) when a backend server sends one.
+type contentDigest struct {
+	want string
+	hash hash.Hash
+}
+
+func newContentDigest(h http.Header) *contentDigest {
+	for _, line := range h["Content-Digest"] {
+		for field := range strings.SplitSeq(line, ",") {
+			name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+			if name == "sha-256" {
+				return &contentDigest{want: strings.Trim(value, ":"), hash: sha256.New()}
+			}
+		}
+	}
+	return &contentDigest{}
+}
+
+func (d *contentDigest) write(p []byte) {
+	if d.hash != nil {
+		d.hash.Write(p) //nolint:errcheck // a hash never fails
+	}
+}
+
+func (d *contentDigest) check() error {
+	if d.hash == nil {
+		return nil
+	}
+	if got := base64.StdEncoding.EncodeToString(d.hash.Sum(nil)); got != d.want {
+		return errkind.New(errkind.AnswerInvalid, fmt.Sprintf("the body has sha-256 %s, Content-Digest states %s", got, d.want))
+	}
+	return nil
+}
+
+// copyBody passes the body on, followed by the trailers of the hop.
+func (x *exchange) copyBody(w http.ResponseWriter) error {
+	if x.whole != nil {
+		_, err := forward.CopyResponse(w, bytes.NewReader(x.whole))
+		return err
+	}
+	digest := newContentDigest(x.response.Header)
+	body := io.TeeReader(x.response.Body, writerFunc(digest.write))
+	if _, err := forward.CopyResponse(w, &checkedBody{body, digest}); err != nil {
+		if errors.Is(err, forward.ErrWrite) {
+			return errkind.Wrap(errkind.PathBroken, err, "the entry daemon is gone")
+		}
+		return errkind.Wrap(errkind.BackendBroken, err, "the response was cut")
+	}
+	return nil
+}
+
+// checkedBody reports a wrong digest in place of io.EOF.
+type checkedBody struct {
+	io.Reader
+	digest *contentDigest
+}
+
+func (b *checkedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if err == io.EOF {
+		if bad := b.digest.check(); bad != nil {
+			return n, bad
+		}
+	}
+	return n, err
+}
+
+type writerFunc func([]byte)
+
+func (f writerFunc) Write(p []byte) (int, error) {
+	f(p)
+	return len(p), nil
+}
