--- /dev/null
+++ b/internal/telemetry/doc.go
@@ -0,0 +1,3 @@
+// Package telemetry makes the loggers and the metrics of a daemon. A log line is a short sentence behind the fixed prefix of
+// its part, and a sentence that repeats is written a bounded number of times per interval.
+package telemetry
