Add detector and life cycle of a backend server

Cause: a home daemon needs to decide when its backend server is taken out of service and how it returns. Design: CUSUM on the clipped log ratio of service time to baseline and a sequential likelihood ratio on errors, both capped per window. A window is judged after a settle time against the larger of the baselines before and after, because baselines follow a change of the whole service late. The spread of the log ratio is learned per backend server, because thresholds in absolute ratios fail for heavy-tailed service times. Ruled out: one threshold for the mean of a window (no defined behaviour at low request rates).

--- /dev/null
+++ b/internal/ejection/config.go
@@ -0,0 +1,178 @@
+package ejection
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Names of the presets.
+const (
+	FastDetection      = "fast-detection"
+	FewFalseEjections  = "few-false-ejections"
+	maxWindowsInSettle = 128
+)
+
+// Config holds the numbers of the detector and of the state machine. Numbers lists names, units, ranges and meanings.
+// Durations are in seconds, as in the service document.
+type Config struct {
+	Window           float64
+	Settle           float64
+	SlowRatio        float64
+	Drift            float64
+	Clip             float64
+	EvidenceCap      float64
+	RecoveryCap      float64
+	LatencyThreshold float64
+	MinSpread        float64
+	MaxSpread        float64
+	MinSamples       float64
+	MinMembers       float64
+	BaselineAge      float64
+	ErrorFloor       float64
+	ErrorMargin      float64
+	ErrorRatio       float64
+	ErrorThreshold   float64
+	InvalidWeight    float64
+	ColdStart        float64
+	SuspectShare     float64
+	ClearShare       float64
+	HoldOff          float64
+	HoldOffMax       float64
+	HoldOffDecay     float64
+	Probes           float64
+	ProbeInterval    float64
+	RampSteps        float64
+	RampStep         float64
+	TickGap          float64
+}
+
+// Number describes one number of a Config.
+type Number struct {
+	Name, Unit, Meaning string
+	Min, Max            float64
+	// Whole says that only whole numbers are valid.
+	Whole bool
+
+	field func(*Config) *float64
+}
+
+// Value returns the number's value in c.
+func (n Number) Value(c Config) float64 { return *n.field(&c) }
+
+var numbers = []Number{
+	{"window", "s", "length of one evidence window", 0.05, 2, false, func(c *Config) *float64 { return &c.Window }},
+	{"settle", "s", "wait before a window is judged, so that baselines can follow a change of the whole service", 0, 5, false, func(c *Config) *float64 { return &c.Settle }},
+	{"slow-ratio", "ratio", "service time over baseline below which a sample is never evidence of slowness", 1.1, 10, false, func(c *Config) *float64 { return &c.SlowRatio }},
+	{"drift", "spreads", "subtracted from each sample's log ratio; larger means fewer false ejections and less sensitivity", 0.1, 2, false, func(c *Config) *float64 { return &c.Drift }},
+	{"clip", "spreads", "largest log ratio that one sample contributes, either way", 1, 5, false, func(c *Config) *float64 { return &c.Clip }},
+	{"evidence-cap", "evidence", "most evidence that one window adds", 0.5, 20, false, func(c *Config) *float64 { return &c.EvidenceCap }},
+	{"recovery-cap", "evidence", "most evidence that one window takes away", 0.5, 20, false, func(c *Config) *float64 { return &c.RecoveryCap }},
+	{"latency-threshold", "evidence", "latency evidence at which the backend server is suspect", 4, 200, false, func(c *Config) *float64 { return &c.LatencyThreshold }},
+	{"min-spread", "ln ratio", "lower bound of the learned standard deviation of the log ratio", 0.1, 2, false, func(c *Config) *float64 { return &c.MinSpread }},
+	{"max-spread", "ln ratio", "upper bound of the learned standard deviation, so that a failing backend server cannot widen it without limit", 0.2, 3, false, func(c *Config) *float64 { return &c.MaxSpread }},
+	{"min-samples", "samples", "samples since the evidence was last zero that are needed before the backend server is suspect", 3, 1000, true, func(c *Config) *float64 { return &c.MinSamples }},
+	{"min-members", "backend servers", "other backend servers that a baseline must cover to be used", 1, 100, true, func(c *Config) *float64 { return &c.MinMembers }},
+	{"baseline-age", "s", "age at which an entry's baseline expires", 1, 60, false, func(c *Config) *float64 { return &c.BaselineAge }},
+	{"error-floor", "share", "error share that is always taken as normal", 0.0001, 0.1, false, func(c *Config) *float64 { return &c.ErrorFloor }},
+	{"error-margin", "ratio", "factor on the baseline error share that is still normal", 1, 10, false, func(c *Config) *float64 { return &c.ErrorMargin }},
+	{"error-ratio", "ratio", "error share tested for, over the normal error share", 2, 50, false, func(c *Config) *float64 { return &c.ErrorRatio }},
+	{"error-threshold", "evidence", "error evidence (natural log of the likelihood ratio) at which the backend server is suspect", 4, 200, false, func(c *Config) *float64 { return &c.ErrorThreshold }},
+	{"invalid-weight", "errors", "number of errors that one wrong or truncated answer counts as", 1, 5, false, func(c *Config) *float64 { return &c.InvalidWeight }},
+	{"cold-start", "s", "time after the start of the home in which nothing is evidence and concurrency grows", 0, 600, false, func(c *Config) *float64 { return &c.ColdStart }},
+	{"suspect-share", "share", "share of the slots in use while suspect, at least one slot", 0.1, 1, false, func(c *Config) *float64 { return &c.SuspectShare }},
+	{"clear-share", "share", "share of the threshold below which a suspect backend server is active again", 0.05, 0.95, false, func(c *Config) *float64 { return &c.ClearShare }},
+	{"hold-off", "s", "first time out before probes start", 0.5, 600, false, func(c *Config) *float64 { return &c.HoldOff }},
+	{"hold-off-max", "s", "upper bound of the time out before probes start; it doubles with each ejection", 1, 3600, false, func(c *Config) *float64 { return &c.HoldOffMax }},
+	{"hold-off-decay", "s", "time in service after which one doubling is taken back", 1, 3600, false, func(c *Config) *float64 { return &c.HoldOffDecay }},
+	{"probes", "probes", "probes in a row that must pass before the return", 1, 20, true, func(c *Config) *float64 { return &c.Probes }},
+	{"probe-interval", "s", "time between probes", 0.05, 30, false, func(c *Config) *float64 { return &c.ProbeInterval }},
+	{"ramp-steps", "steps", "steps from one slot to all slots", 1, 20, true, func(c *Config) *float64 { return &c.RampSteps }},
+	{"ramp-step", "s", "length of one step of the ramp", 0.1, 60, false, func(c *Config) *float64 { return &c.RampStep }},
+	{"tick-gap", "s", "time without a call after which the process is taken as paused and the permit is dropped", 0.2, 3, false, func(c *Config) *float64 { return &c.TickGap }},
+}
+
+// Numbers lists every number of a Config in the order of the documentation.
+func Numbers() []Number { return slices.Clone(numbers) }
+
+var presets = map[string]Config{
+	FastDetection: {
+		Window: 0.1, Settle: 0.5,
+		SlowRatio: 1.5, Drift: 0.5, Clip: 2, EvidenceCap: 2, RecoveryCap: 2, LatencyThreshold: 16,
+		MinSpread: 0.5, MaxSpread: 1.5, MinSamples: 12, MinMembers: 3, BaselineAge: 5,
+		ErrorFloor: 0.002, ErrorMargin: 1.5, ErrorRatio: 8, ErrorThreshold: 10, InvalidWeight: 2,
+		ColdStart: 20, SuspectShare: 0.5, ClearShare: 0.4,
+		HoldOff: 5, HoldOffMax: 120, HoldOffDecay: 60, Probes: 3, ProbeInterval: 0.2,
+		RampSteps: 4, RampStep: 1, TickGap: 1,
+	},
+	FewFalseEjections: {
+		Window: 0.25, Settle: 2,
+		SlowRatio: 1.6, Drift: 0.5, Clip: 2, EvidenceCap: 2, RecoveryCap: 2, LatencyThreshold: 30,
+		MinSpread: 0.5, MaxSpread: 1.5, MinSamples: 20, MinMembers: 3, BaselineAge: 6,
+		ErrorFloor: 0.003, ErrorMargin: 2, ErrorRatio: 8, ErrorThreshold: 18, InvalidWeight: 2,
+		ColdStart: 30, SuspectShare: 0.67, ClearShare: 0.4,
+		HoldOff: 10, HoldOffMax: 300, HoldOffDecay: 120, Probes: 3, ProbeInterval: 0.5,
+		RampSteps: 3, RampStep: 2, TickGap: 1,
+	},
+}
+
+// Preset returns the numbers of a preset by name.
+func Preset(name string) (Config, error) {
+	c, ok := presets[name]
+	if !ok {
+		return Config{}, fmt.Errorf("unknown detector preset %q: expected one of %s", name,
+			strings.Join(slices.Sorted(maps.Keys(presets)), ", "))
+	}
+	return c, nil
+}
+
+// Override returns c with the named numbers replaced. It reports the first name in alphabetical order that is unknown or
+// out of range, and numbers that contradict each other. On error c is returned unchanged.
+func (c Config) Override(values map[string]float64) (Config, error) {
+	out := c
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		i := slices.IndexFunc(numbers, func(n Number) bool { return n.Name == name })
+		if i < 0 {
+			return c, fmt.Errorf("unknown detector number %q", name)
+		}
+		if err := numbers[i].check(values[name]); err != nil {
+			return c, err
+		}
+		*numbers[i].field(&out) = values[name]
+	}
+	if err := out.check(); err != nil {
+		return c, err
+	}
+	return out, nil
+}
+
+func (n Number) check(v float64) error {
+	if math.IsNaN(v) || v < n.Min || v > n.Max {
+		return fmt.Errorf("detector number %q is %v: must be from %v to %v %s", n.Name, v, n.Min, n.Max, n.Unit)
+	}
+	if n.Whole && v != math.Trunc(v) {
+		return fmt.Errorf("detector number %q is %v: must be a whole number", n.Name, v)
+	}
+	return nil
+}
+
+func (c Config) check() error {
+	switch {
+	case c.HoldOffMax < c.HoldOff:
+		return fmt.Errorf("detector number \"hold-off-max\" (%v s) is below \"hold-off\" (%v s)", c.HoldOffMax, c.HoldOff)
+	case c.MaxSpread < c.MinSpread:
+		return fmt.Errorf("detector number \"max-spread\" (%v) is below \"min-spread\" (%v)", c.MaxSpread, c.MinSpread)
+	case c.Clip <= c.Drift:
+		return fmt.Errorf("detector number \"clip\" (%v) must be above \"drift\" (%v), or slowness is never evidence", c.Clip, c.Drift)
+	case c.Settle/c.Window > maxWindowsInSettle-2:
+		return fmt.Errorf("detector number \"settle\" (%v s) spans more than %d windows of %v s", c.Settle, maxWindowsInSettle-2, c.Window)
+	case 2*c.EvidenceCap > c.LatencyThreshold || 2*c.EvidenceCap > c.ErrorThreshold:
+		return fmt.Errorf("detector number \"evidence-cap\" (%v) must be at most half of each threshold, or one window could eject", c.EvidenceCap)
+	}
+	return nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- /dev/null
+++ b/internal/ejection/detector_test.go
@@ -0,0 +1,176 @@
+package ejection
+
+import (
+	"strings"
+	"testing"
+	"time"
+)
+
+// evidence runs a ready backend server without a permit and returns its explanation.
+func evidence(t *testing.T, name string, d time.Duration, sample func(int) Sample) Explanation {
+	t.Helper()
+	b, now := ready(t, name)
+	return b.Explain(drive(b, now, d, false, sample))
+}
+
+// Guards against ejecting every backend server when the whole service slows down: baselines follow 1.5 s later.
+func TestServiceWideSlowdownIsNoEvidence(t *testing.T) {
+	for _, name := range []string{FastDetection, FewFalseEjections} {
+		b, now := ready(t, name)
+		median := 10 * time.Millisecond
+		for i := range 1000 {
+			now = now.Add(20 * time.Millisecond)
+			if i == 50 {
+				median = 50 * time.Millisecond
+			}
+			b.Baseline(now, "e", Baseline{Median: median, Members: 7})
+			b.Observe(now, Sample{ServiceTime: 50 * time.Millisecond})
+			if b.WantsOut(now) {
+				t.Fatalf("%s: wants out %v after the slowdown", name, time.Duration(i)*20*time.Millisecond)
+			}
+		}
+	}
+}
+
+// Guards against counting the requests that one garbage collection delays as independent samples.
+func TestOnePauseIsOneWindow(t *testing.T) {
+	for _, name := range []string{FastDetection, FewFalseEjections} {
+		b, now := ready(t, name)
+		for range 200 {
+			b.Observe(now, Sample{ServiceTime: time.Second})
+		}
+		now = drive(b, now, 2500*time.Millisecond, false, func(int) Sample { return Sample{Result: Shed} })
+		e := b.Explain(now)
+		if e.State.Mode != Active || e.Latency.Value == 0 || e.Latency.Value > b.cfg.EvidenceCap {
+			t.Errorf("%s: %s with %v", name, e.State.Mode, e.Latency)
+		}
+	}
+}
+
+// Guards against treating load that the backend server sheds as errors.
+func TestShedLoadIsNoEvidence(t *testing.T) {
+	e := evidence(t, FastDetection, 20*time.Second, func(int) Sample { return Sample{ServiceTime: time.Second, Result: Shed} })
+	if e.State.Mode != Active || e.Errors.Value != 0 || e.Latency.Value != 0 {
+		t.Errorf("%s, latency %v, errors %v", e.State.Mode, e.Latency, e.Errors)
+	}
+}
+
+// Guards against ejecting a backend server for its cold start.
+func TestColdStartIsNoEvidence(t *testing.T) {
+	cfg := preset(t, FastDetection)
+	b := NewBackend(cfg, 5, start)
+	if s := b.State(start); s.Mode != Warming || s.Allowed != 1 {
+		t.Fatalf("at the start: %+v", s)
+	}
+	now := drive(b, start, seconds(cfg.ColdStart)-time.Millisecond, true, func(int) Sample {
+		return Sample{ServiceTime: time.Second, Result: Failed}
+	})
+	now = drive(b, now, 20*time.Second, true, steady(10*time.Millisecond))
+	if e := b.Explain(now); e.Ejections != 0 || e.State.Mode != Active {
+		t.Errorf("after a slow start: %+v", e)
+	}
+}
+
+// Guards against ejecting on a handful of bad requests, each in a window of its own.
+func TestFewSamplesDoNotEject(t *testing.T) {
+	for _, name := range []string{FastDetection, FewFalseEjections} {
+		cfg := preset(t, name)
+		for _, r := range []Result{OK, Failed, Invalid, Abandoned} {
+			e := evidence(t, name, 30*time.Second, func(i int) Sample {
+				if i%50 == 49 && i/50 < int(cfg.MinSamples)-1 {
+					return Sample{ServiceTime: 10 * time.Second, Result: r}
+				}
+				return Sample{Result: Shed}
+			})
+			if e.State.Mode != Active {
+				t.Errorf("%s, result %d: %s", name, r, e.Reason)
+			}
+		}
+	}
+}
+
+// Guards against judging without a baseline, or by an expired one, or by one over too few backend servers.
+func TestNoUsableBaselineIsNoEvidence(t *testing.T) {
+	b, now := ready(t, FastDetection)
+	now = now.Add(time.Second)
+	for range 1000 {
+		now = now.Add(20 * time.Millisecond)
+		b.Baseline(now, "e", Baseline{Median: time.Millisecond, Members: 2})
+		b.Baseline(now, "f", Baseline{Median: -time.Millisecond, Members: 9})
+		b.Observe(now, Sample{ServiceTime: time.Second, Result: Invalid})
+	}
+	if e := b.Explain(now); e.State.Mode != Active {
+		t.Errorf("judged by an unusable baseline: %s", e.Reason)
+	}
+}
+
+// Guards against one entry with a wrong view that outvotes the others or hides a slow backend server.
+func TestOneWrongEntryDoesNotDecide(t *testing.T) {
+	for _, wrong := range []time.Duration{time.Microsecond, time.Minute} {
+		for _, slow := range []bool{false, true} {
+			b, now := ready(t, FastDetection)
+			own := 10 * time.Millisecond
+			if slow {
+				own *= 5
+			}
+			for range 500 {
+				now = now.Add(20 * time.Millisecond)
+				b.Baseline(now, "e", Baseline{Median: 10 * time.Millisecond, Members: 7})
+				b.Baseline(now, "f", Baseline{Median: 11 * time.Millisecond, Members: 7})
+				b.Baseline(now, "wrong", Baseline{Median: wrong, Members: 7})
+				b.Observe(now, Sample{ServiceTime: own})
+			}
+			if b.WantsOut(now) != slow {
+				t.Errorf("entry reporting %v, slow=%v: wants out=%v", wrong, slow, !slow)
+			}
+		}
+	}
+}
+
+// Guards against missing each kind of fault altogether, and against learning a fault as the normal spread.
+func TestFaultsAreDetected(t *testing.T) {
+	for kind, bad := range map[string]Sample{
+		"slow": {ServiceTime: 50 * time.Millisecond}, "failed": {Result: Failed},
+		"invalid": {Result: Invalid}, "abandoned": {ServiceTime: time.Second, Result: Abandoned},
+	} {
+		for name, limit := range map[string]time.Duration{FastDetection: 2 * time.Second, FewFalseEjections: 10 * time.Second} {
+			if e := evidence(t, name, limit, func(int) Sample { return bad }); e.State.Mode != Suspect {
+				t.Errorf("%s, %s: %s after %v", name, kind, e.State.Mode, limit)
+			}
+		}
+	}
+}
+
+// Guards against a typing error in a service document that silently changes nothing or disables the detector.
+func TestOverrideIsChecked(t *testing.T) {
+	base := preset(t, FastDetection)
+	c, err := base.Override(map[string]float64{"hold-off": 7, "probes": 5})
+	if err != nil || c.HoldOff != 7 || c.Probes != 5 || base.HoldOff == 7 {
+		t.Errorf("valid override: %+v, %v", c, err)
+	}
+	for want, values := range map[string]map[string]float64{
+		`unknown detector number "holdoff"`: {"holdoff": 7},
+		`from 0.5 to 600 s`:                 {"hold-off": 0},
+		`must be a whole number`:            {"probes": 2.5},
+		`is below "hold-off"`:               {"hold-off": 500},
+		`must be above "drift"`:             {"clip": 1, "drift": 1.5},
+		`at most half of each threshold`:    {"evidence-cap": 9},
+	} {
+		if c, err := base.Override(values); err == nil || !strings.Contains(err.Error(), want) || c != base {
+			t.Errorf("%v: got error %v, want %q", values, err, want)
+		}
+	}
+	if _, err := Preset("fast"); err == nil || !strings.Contains(err.Error(), FewFalseEjections) {
+		t.Errorf("unknown preset: %v", err)
+	}
+	for name, cfg := range presets {
+		if _, err := cfg.Override(nil); err != nil {
+			t.Errorf("%s contradicts itself: %v", name, err)
+		}
+		for _, n := range numbers {
+			if err := n.check(n.Value(cfg)); err != nil {
+				t.Errorf("%s: %v", name, err)
+			}
+		}
+	}
+}
