--- a/internal/contract/documents.go
+++ b/internal/contract/documents.go
@@ -31,11 +31,11 @@
 	// Limits bound the customer's traffic across the fleet.
 	Limits Limits `yaml:"limits" json:"limits"`
 	// Deadline bounds each request from its arrival. Default: 10s.
-	Deadline Duration `yaml:"deadline,omitempty" json:"deadline,omitempty"`
+	Deadline Duration `yaml:"deadline,omitempty" json:"deadline,omitzero"`
 	// RetryBudgetPercent bounds retries as a share of requests. Default: 10. Range: 0 to 100.
-	RetryBudgetPercent *int `yaml:"retryBudgetPercent,omitempty" json:"retryBudgetPercent,omitempty"`
+	RetryBudgetPercent *int `yaml:"retryBudgetPercent,omitempty" json:"retryBudgetPercent,omitzero"`
 	// Priority decides who is refused first when a backend server is full: lower priorities go first. Default: 5. Range: 0 to 9.
-	Priority *int `yaml:"priority,omitempty" json:"priority,omitempty"`
+	Priority *int `yaml:"priority,omitempty" json:"priority,omitzero"`
 	// OtherRegion is "never" or "spill": whether requests may cross to the other region when their own has no capacity. Default: never.
 	OtherRegion string `yaml:"otherRegion,omitempty" json:"otherRegion,omitempty"`
 }
@@ -49,11 +49,11 @@
 	// Service is the name of the service.
 	Service string `yaml:"service" json:"service"`
 	// AtMostOnce requires an operation key; the operation runs at most once. Default: false.
-	AtMostOnce bool `yaml:"atMostOnce,omitempty" json:"atMostOnce,omitempty"`
+	AtMostOnce bool `yaml:"atMostOnce,omitempty" json:"atMostOnce,omitzero"`
 	// SafeToRepeat allows a retry although the first try may have run. Default: true for GET, HEAD and OPTIONS, else false.
-	SafeToRepeat *bool `yaml:"safeToRepeat,omitempty" json:"safeToRepeat,omitempty"`
+	SafeToRepeat *bool `yaml:"safeToRepeat,omitempty" json:"safeToRepeat,omitzero"`
 	// Deadline replaces the deadline of the contract on this route.
-	Deadline Duration `yaml:"deadline,omitempty" json:"deadline,omitempty"`
+	Deadline Duration `yaml:"deadline,omitempty" json:"deadline,omitzero"`
 }
 
 // Limits bound a customer's traffic.
@@ -61,11 +61,11 @@
 	// RatePerSecond is the number of requests a second for the whole fleet. It must be positive.
 	RatePerSecond float64 `yaml:"ratePerSecond" json:"ratePerSecond"`
 	// Burst is the number of requests that may arrive at once. Default: one second of RatePerSecond.
-	Burst int `yaml:"burst,omitempty" json:"burst,omitempty"`
+	Burst int `yaml:"burst,omitempty" json:"burst,omitzero"`
 	// Concurrency is the number of requests in flight for the whole fleet. It must be positive.
 	Concurrency int `yaml:"concurrency" json:"concurrency"`
 	// MaxRequestBytes bounds the body of one request. Default: 1048576 (1 MiB).
-	MaxRequestBytes int64 `yaml:"maxRequestBytes,omitempty" json:"maxRequestBytes,omitempty"`
+	MaxRequestBytes int64 `yaml:"maxRequestBytes,omitempty" json:"maxRequestBytes,omitzero"`
 }
 
 // Service is a set of interchangeable backend servers.
@@ -76,7 +76,7 @@
 	Generation uint64 `yaml:"generation" json:"generation"`
 	// FloorPercent is the share of the backend servers that ejection must leave in service, rounded up to whole backend
 	// servers. Default: 70. Range: 1 to 100; 100 switches ejection off.
-	FloorPercent int `yaml:"floorPercent,omitempty" json:"floorPercent,omitempty"`
+	FloorPercent int `yaml:"floorPercent,omitempty" json:"floorPercent,omitzero"`
 	// Preset names the settings of the detector: "fast-detection" or "few-false-ejections". Default: few-false-ejections.
 	Preset string `yaml:"preset,omitempty" json:"preset,omitempty"`
 	// Detector overrides single numbers of the preset, by name. docs/ejection.md lists the names, units and ranges.
@@ -96,7 +96,7 @@
 	// Address is the host:port that the daemon on the same VM connects to.
 	Address string `yaml:"address" json:"address"`
 	// Slots is the number of requests that it serves at the same time. Default: 5.
-	Slots int `yaml:"slots,omitempty" json:"slots,omitempty"`
+	Slots int `yaml:"slots,omitempty" json:"slots,omitzero"`
 }
 
 // VM is a virtual machine that runs a daemon.
--- /dev/null
+++ b/internal/contract/value_test.go
@@ -0,0 +1,213 @@
+package contract
+
+import (
+	"bytes"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/cowsliprun/cowsliprun/internal/rapidseed"
+)
+
+// Guards against output that depends on the order of files or of maps, and against fields lost on the way.
+func TestRenderIsDeterministicAndComplete(t *testing.T) {
+	docs := loadFleet(t)
+	docs.VMs = append(docs.VMs, VM{VM: "a"}, VM{VM: "b"})
+	docs.Services[0].Detector = map[string]float64{"a": 1, "b": 2, "c": 3, "d": 4}
+	first, err := Render(docs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	slices.Reverse(docs.VMs)
+	again, err := Render(docs)
+	if err != nil || !maps.EqualFunc(first, again, bytes.Equal) {
+		t.Errorf("two renderings differ, error %v", err)
+	}
+	index, err := DecodeIndex(first[ValueIndex])
+	if err != nil || len(index.Values) != len(ValueNames()) || len(first) != len(ValueNames())+1 {
+		t.Fatalf("index has %d values of %d rendered, error %v", len(index.Values), len(first), err)
+	}
+	for name, entry := range index.Values {
+		if entry.ContentHash != ContentHash(first[name]) {
+			t.Errorf("the index has another hash of %s", name)
+		}
+	}
+	roundTrip(t, loadFleet(t))
+}
+
+// Guards against a value that the platform would refuse.
+func TestRenderRefusesTooLargeValues(t *testing.T) {
+	var docs Documents
+	for i := range 20_000 {
+		docs.VMs = append(docs.VMs, VM{VM: fmt.Sprintf("vm-%d", i), PeerAddress: "10.0.0.1:7001"})
+	}
+	if _, err := Render(docs); err == nil || !strings.Contains(err.Error(), "value vms has") {
+		t.Errorf("error %v", err)
+	}
+	if _, err := DecodeValue(ValueVMs, make([]byte, MaxValueBytes+1), nil); err == nil {
+		t.Error("a value over the limit was decoded")
+	}
+}
+
+// Guards against a bad document that blocks the good ones of its value, or that is taken.
+func TestBadDocumentsAreLeftOut(t *testing.T) {
+	const good = `{"apiVersion":"cowsliprun/v1","kind":"DataCentre","dataCentre":"a","generation":1,"region":"r"}`
+	with := func(old, new string) string { return strings.Replace(good, old, new, 1) }
+	for _, c := range []struct{ name, bad, problem string }{
+		{"unknown field", with(`"generation"`, `"colour":1,"dataCentre2":"b","generation"`), "colour"},
+		{"field name in other case", with(`"region"`, `"Region"`), "Region"},
+		{"repeated field", with(`"region"`, `"region":"x","region"`), "region"},
+		{"wrong type", with(`:1`, `:"1"`), "generation"},
+		{"generation missing", with(`"generation":1,`, ``), "generation"},
+		{"other kind", with(`"DataCentre"`, `"VM"`), "kind"},
+		{"other version", with(`/v1`, `/v2`), "apiVersion"},
+		{"no object", `7`, ""},
+	} {
+		text := fmt.Sprintf(`{"documents":[%s,%s]}`, strings.Replace(c.bad, `"a"`, `"b"`, 1), good)
+		value, err := DecodeValue(ValueDataCentres, []byte(text), nil)
+		if err != nil || len(value.Documents.DataCentres) != 1 || len(value.Bad) != 1 || !strings.Contains(value.Bad[0].Problem, c.problem) {
+			t.Errorf("%s: %+v, %v", c.name, value, err)
+		}
+	}
+	value, err := DecodeValue(ValueDataCentres, []byte(fmt.Sprintf(`{"documents":[%s,%s]}`, good, good)), nil)
+	if err != nil || len(value.Documents.All()) != 0 || len(value.Bad) != 2 {
+		t.Errorf("repeated document: %+v, %v", value, err)
+	}
+	if value, err := DecodeValue(ContractValue(0), fmt.Appendf(nil, `{"documents":[%s]}`, good), nil); err != nil || len(value.Bad) != 1 {
+		t.Errorf("document of another kind: %+v, %v", value, err)
+	}
+	for _, text := range []string{``, `{}`, `[]`, `{"documents":null}`, `{"documents":[],"x":1}`, `{"documents":[]} x`} {
+		if _, err := DecodeValue(ValueVMs, []byte(text), nil); err == nil {
+			t.Errorf("the value %q was decoded", text)
+		}
+	}
+}
+
+func FuzzDecodeValue(f *testing.F) {
+	values, err := Render(loadFleet(f))
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, name := range []string{ValueOf(Ref{KindContract, "hotel-borg"}), ValueOf(Ref{KindService, "buyer-portal"}), ValueVMs, ValueDataCentres} {
+		f.Add(name, values[name])
+	}
+	f.Fuzz(func(t *testing.T, name string, data []byte) {
+		value, err := DecodeValue(name, data, nil)
+		if err != nil {
+			return
+		}
+		roundTrip(t, value.Documents)
+	})
+}
+
+func FuzzDecodeIndex(f *testing.F) {
+	f.Add([]byte(`{"values":{"vms":{"contentHash":"0123456789abcdef"}}}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		index, err := DecodeIndex(data)
+		for name := range index.Values {
+			if err != nil || kindOf(name) == "" {
+				t.Fatalf("index lists %q, error %v", name, err)
+			}
+		}
+	})
+}
+
+// versions draws the history of a value: each revision holds documents with any generation, as careless operators write.
+func versions(t *rapid.T) []Value {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Value {
+		var value Value
+		for _, name := range []string{"a", "b"} {
+			switch rapid.IntRange(0, 5).Draw(t, name) {
+			case 0:
+			case 1:
+				value.Bad = append(value.Bad, BadDocument{Ref: Ref{KindDataCentre, name}, Problem: "p"})
+			default:
+				value.Documents.Add(&DataCentre{DataCentre: name, Generation: rapid.Uint64Range(1, 4).Draw(t, "generation"), Region: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "region")})
+			}
+		}
+		if rapid.IntRange(0, 9).Draw(t, "unnamed") == 0 {
+			value.Bad = append(value.Bad, BadDocument{Problem: "p"})
+		}
+		return value
+	}), 1, 6).Draw(t, "versions")
+}
+
+// Guards against a document that goes back to an older generation, or changes without a higher one, whatever the order in
+// which the revisions arrive and however often. It also checks that the residue restores what is in force.
+func TestMergeNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := versions(t)
+		var inForce InForce
+		highest := map[Ref]Document{}
+		for range rapid.IntRange(1, 12).Draw(t, "arrivals") {
+			i := rapid.IntRange(0, len(history)-1).Draw(t, "arrival")
+			revision := uint64(i + 1)
+			before := inForce
+			var findings []Finding
+			inForce, findings = Merge(ValueDataCentres, before, revision, history[i])
+			if inForce.Revision != max(before.Revision, revision) {
+				t.Fatalf("revision %d after %d and %d", inForce.Revision, before.Revision, revision)
+			}
+			for _, doc := range inForce.Documents.All() {
+				if old := highest[doc.Ref()]; old != nil && (doc.Version() < old.Version() || doc.Version() == old.Version() && !sameContent(doc, old)) {
+					t.Fatalf("%v came into force after %v", doc, old)
+				}
+				highest[doc.Ref()] = doc
+			}
+			if revision <= before.Revision {
+				continue
+			}
+			checkFindings(t, history[i], inForce, findings)
+			restored := Restore(revision, history[i], inForce.Residue(history[i]))
+			if !slices.EqualFunc(restored.Documents.All(), inForce.Documents.All(), sameContent) {
+				t.Fatalf("restored %v, in force %v", restored, inForce)
+			}
+		}
+	})
+}
+
+// checkFindings requires that each document of the value is in force or has a finding that says why not.
+func checkFindings(t *rapid.T, value Value, inForce InForce, findings []Finding) {
+	reported := map[Ref]bool{}
+	for _, f := range findings {
+		reported[f.Ref] = true
+	}
+	for _, bad := range value.Bad {
+		if !reported[bad.Ref] {
+			t.Fatalf("no finding for the bad %v", bad)
+		}
+	}
+	for _, doc := range value.Documents.All() {
+		same := slices.ContainsFunc(inForce.Documents.All(), func(d Document) bool { return d.Ref() == doc.Ref() && sameContent(d, doc) })
+		if same == reported[doc.Ref()] {
+			t.Fatalf("%v: in force %v, reported %v", doc, same, reported[doc.Ref()])
+		}
+	}
+}
+
+// Guards against a rule that holds documents back although the generation grows: then all orders end in the same state.
+func TestMergeFollowsGrowingGenerations(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var history []Value
+		for i := range rapid.IntRange(1, 6).Draw(t, "revisions") {
+			var value Value
+			if rapid.Bool().Draw(t, "present") {
+				value.Documents.Add(&DataCentre{DataCentre: "a", Generation: uint64(i + 1), Region: "r"})
+			}
+			history = append(history, value)
+		}
+		var inForce InForce
+		arrivals := append(rapid.SliceOf(rapid.IntRange(0, len(history)-1)).Draw(t, "arrivals"), len(history)-1)
+		for _, i := range arrivals {
+			inForce, _ = Merge(ValueDataCentres, inForce, uint64(i+1), history[i])
+		}
+		want := history[len(history)-1].Documents.All()
+		if !slices.EqualFunc(inForce.Documents.All(), want, sameContent) {
+			t.Fatalf("in force %v, want %v", inForce.Documents, want)
+		}
+	})
+}
--- /dev/null
+++ b/internal/strictyaml/issue.go
@@ -0,0 +1,69 @@
+package strictyaml
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Issue is one fault of a file.
+type Issue struct {
+	// File is the name of the file as the caller gave it. It may be empty.
+	File string `json:"file,omitempty"`
+	// Line counts from 1. Zero means that the fault concerns the file as a whole.
+	Line int `json:"line,omitzero"`
+	// Path names the field, such as "routes[0].pathPrefix". It may be empty.
+	Path string `json:"path,omitempty"`
+	// Message says what is wrong and what is accepted.
+	Message string `json:"message"`
+}
+
+// Error returns the issue on one line: file, line, path and message.
+func (i Issue) Error() string {
+	var text strings.Builder
+	if i.File != "" {
+		text.WriteString(i.File)
+		text.WriteByte(':')
+		if i.Line > 0 {
+			text.WriteString(strconv.Itoa(i.Line))
+			text.WriteByte(':')
+		}
+		text.WriteByte(' ')
+	}
+	if i.Path != "" {
+		text.WriteString(i.Path)
+		text.WriteString(": ")
+	}
+	// A message that quotes the file must not spread over several lines.
+	text.WriteString(strings.ReplaceAll(i.Message, "\n", " "))
+	return text.String()
+}
+
+// Issues are all faults found by one check.
+type Issues []Issue
+
+// Error returns one line per issue.
+func (l Issues) Error() string {
+	lines := make([]string, len(l))
+	for i := range l {
+		lines[i] = l[i].Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns the issues as an error, or nil when there are none.
+func (l Issues) Err() error {
+	if len(l) == 0 {
+		return nil
+	}
+	return l
+}
+
+// Sort orders the issues by file and line, and drops repeated ones.
+func (l Issues) Sort() Issues {
+	slices.SortStableFunc(l, func(a, b Issue) int {
+		return cmp.Or(cmp.Compare(a.File, b.File), cmp.Compare(a.Line, b.Line), cmp.Compare(a.Path, b.Path), cmp.Compare(a.Message, b.Message))
+	})
+	return slices.Compact(l)
+}
