Wire ejection, reservations and at-most-once operations into home and entry

Cause: the home served requests without a life cycle, and operations had no owner. Change: the home feeds the detector, holds permits and grants under one lock from decision to effect, so that no grant can come between a permit and its use; overdue requests count as evidence while they still run. The daemon that issues an operation key is its owner, so no daemon has to know the incarnation of another one. Ruled out: service time from the arrival of the request (a slow upload would count against the backend server).

--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
@@ -24,48 +25,61 @@
 
 const testKey = "test-key"
 
-// path is one entry, one home a backend server, over real loopback sockets.
+// path is a small fleet in one process, over real loopback sockets: each VM has an entry, a home and one backend server.
 type path struct {
 	entry    *httptest.Server
+	entries  []*httptest.Server
 	homes    []*home.Home
 	backends []*backend.Server
+	// addresses are those of the backend servers.
+	addresses []string
+	// stops close the peer listeners with all connections, as a kill of the daemon does.
+	stops []func()
 }
 
-func newPath(t *testing.T, backends int) *path {
+// backendSlots is low enough that a few requests fill a backend server.
+const backendSlots = 2
+
+func newPath(t testing.TB, vms int) *path {
 	t.Helper()
 	p := &path{}
 	digest := sha256.Sum256([]byte(testKey))
 	svc := contract.Service{Service: "stock"}
-	var vms []contract.VM
-	for i := range backends {
+	var docs contract.Documents
+	var current atomic.Pointer[catalog.Snapshot]
+	for i := range vms {
+		vm := fmt.Sprintf("vm%d", i)
 		b := backend.New(fmt.Sprintf("b%d", i), 1)
 		srv := httptest.NewServer(b.Handler())
 		t.Cleanup(srv.Close)
-		h := home.New(home.Options{VM: fmt.Sprintf("vm%d", i)})
-		address := serveHTTP2(t, h)
+		h := home.New(home.Options{VM: vm})
+		e := entry.New(entry.Options{VM: vm, Snapshot: current.Load, Incarnation: uint64(i + 1), Leaving: h.Leaving})
+		address, stop := serveHTTP2(t, peerHandler(h, http.HandlerFunc(e.ServeOperation), http.NotFoundHandler()))
+		front := httptest.NewServer(e.Handler())
+		t.Cleanup(front.Close)
+		p.entries, p.stops = append(p.entries, front), append(p.stops, stop)
 		p.homes, p.backends = append(p.homes, h), append(p.backends, b)
-		vms = append(vms, contract.VM{VM: fmt.Sprintf("vm%d", i), DataCentre: "dc1", PeerAddress: address})
-		svc.BackendServers = append(svc.BackendServers, contract.BackendServer{ID: fmt.Sprintf("b%d", i), VM: fmt.Sprintf("vm%d", i), Address: srv.Listener.Addr().String(), Slots: 2})
+		p.addresses = append(p.addresses, srv.Listener.Addr().String())
+		docs.VMs = append(docs.VMs, contract.VM{VM: vm, DataCentre: "dc1", PeerAddress: address})
+		svc.BackendServers = append(svc.BackendServers, contract.BackendServer{ID: fmt.Sprintf("b%d", i), VM: vm, Address: p.addresses[i], Slots: backendSlots})
 	}
-	c := contract.Contract{
+	p.entry = p.entries[0]
+	docs.Services = []contract.Service{svc}
+	docs.DataCentres = []contract.DataCentre{{DataCentre: "dc1", Region: "r1"}}
+	docs.Contracts = []contract.Contract{{
 		Customer: "grocer", APIKeySHA256: []string{hex.EncodeToString(digest[:])},
-		Routes: []contract.Route{{PathPrefix: "/", Service: "stock"}},
+		Routes: []contract.Route{{PathPrefix: "/", Service: "stock"}, {PathPrefix: "/orders/once", Service: "stock", AtMostOnce: true}},
 		Limits: contract.Limits{RatePerSecond: 1e6, Concurrency: 1000, MaxRequestBytes: 8 << 20},
-	}
-	snapshot := catalog.Build([]catalog.Source{{Revision: 1, Documents: contract.Documents{
-		Contracts: []contract.Contract{c}, Services: []contract.Service{svc}, VMs: vms,
-		DataCentres: []contract.DataCentre{{DataCentre: "dc1", Region: "r1"}},
-	}}})
+	}}
+	snapshot := catalog.Build([]catalog.Source{{Revision: 1, Documents: docs}})
 	for _, h := range p.homes {
 		h.Apply(snapshot)
 	}
-	e := entry.New(entry.Options{VM: "vm0", Snapshot: func() *catalog.Snapshot { return snapshot }})
-	p.entry = httptest.NewServer(e.Handler())
-	t.Cleanup(p.entry.Close)
+	current.Store(snapshot)
 	return p
 }
 
-func serveHTTP2(t *testing.T, h http.Handler) string {
+func serveHTTP2(t testing.TB, h http.Handler) (address string, stop func()) {
 	t.Helper()
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
@@ -75,17 +89,26 @@
 	}
 	srv := &http.Server{Handler: h, Protocols: protocols}
 	go srv.Serve(listener) //nolint:errcheck // ends with Close
-	t.Cleanup(func() { srv.Close() })
-	return listener.Addr().String()
+	stop = func() { srv.Close() }
+	t.Cleanup(stop)
+	return listener.Addr().String(), stop
 }
 
 func (p *path) do(t *testing.T, method, target string, body io.Reader) (*http.Response, []byte, error) {
 	t.Helper()
-	req, err := http.NewRequestWithContext(context.Background(), method, p.entry.URL+target, body)
+	return p.send(t, p.entry, method, target, body, "")
+}
+
+func (p *path) send(t *testing.T, via *httptest.Server, method, target string, body io.Reader, key string) (*http.Response, []byte, error) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), method, via.URL+target, body)
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Header.Set("Authorization", "Bearer "+testKey)
+	if key != "" {
+		req.Header.Set(forward.HeaderIdempotencyKey, key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, nil, err
@@ -198,8 +221,12 @@
 // A draining home refuses as not run, and the entry finds another one, also for operations that are not safe to repeat.
 func TestDrainingHomeIsAvoided(t *testing.T) {
 	p := newPath(t, 3)
-	p.homes[0].BeginDrain()
-	p.homes[1].BeginDrain()
+	if err := p.homes[0].Drain(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.homes[1].Drain(context.Background()); err != nil {
+		t.Fatal(err)
+	}
 	for range 20 {
 		resp, body, err := p.do(t, "POST", "/orders", strings.NewReader("order"))
 		if err != nil || resp.StatusCode != 200 {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/operation"
 	"github.com/go-chi/chi/v5"
 )
 
@@ -22,13 +23,27 @@
 	Snapshot func() *catalog.Snapshot
 	// Transport connects to home daemons. Default: forward.NewPeerTransport(nil).
 	Transport http.RoundTripper
+	// Incarnation is the random number that the process drew at its start. Operation keys name it.
+	Incarnation uint64
+	// Memory records the operations whose keys this daemon issued. Default: operation.NewMemory with its defaults.
+	Memory *operation.Memory
+	// Leaving reports whether the daemon drains. Default: never.
+	Leaving func() bool
 }
 
+// uploadBudgetBytes bounds the bodies of at-most-once operations that are held at the same time.
+const uploadBudgetBytes = 64 << 20
+
 // Entry is the callers' side of a daemon.
 type Entry struct {
 	vm        string
 	snapshot  func() *catalog.Snapshot
 	transport http.RoundTripper
+
+	incarnation uint64
+	memory      *operation.Memory
+	uploads     *operation.Uploads
+	leaving     func() bool
 }
 
 // New returns an Entry.
@@ -36,12 +51,22 @@
 	if o.Transport == nil {
 		o.Transport = forward.NewPeerTransport(nil)
 	}
-	return &Entry{vm: o.VM, snapshot: o.Snapshot, transport: o.Transport}
+	if o.Memory == nil {
+		o.Memory = operation.NewMemory(o.VM, o.Incarnation, operation.Options{})
+	}
+	if o.Leaving == nil {
+		o.Leaving = func() bool { return false }
+	}
+	return &Entry{
+		vm: o.VM, snapshot: o.Snapshot, transport: o.Transport, incarnation: o.Incarnation, memory: o.Memory,
+		uploads: operation.NewUploads(uploadBudgetBytes), leaving: o.Leaving,
+	}
 }
 
 // Handler returns the handler of the callers' listener.
 func (e *Entry) Handler() http.Handler {
 	router := chi.NewRouter()
+	router.Post("/.cowslip/operation-keys", e.operationKeys)
 	router.Handle("/*", http.HandlerFunc(e.serve))
 	return router
 }
@@ -67,13 +92,31 @@
 	c.id = id
 	ctx, cancel := context.WithTimeout(r.Context(), e.deadline(r, c.route))
 	defer cancel()
-	if err := e.forward(ctx, w, r, c); err != nil {
+	serve := e.forward
+	if c.route.AtMostOnce {
+		serve = e.operate
+	}
+	if err := serve(ctx, w, r, c); err != nil {
 		writeError(w, err)
 	}
 }
 
-// admit finds the customer, the route and the service, and checks the limits of the contract.
+// admit finds the contract that applies and checks its limits.
 func (e *Entry) admit(r *http.Request) (*call, error) {
+	c, err := e.identify(r, r.URL.Path)
+	if err != nil {
+		return nil, err
+	}
+	if !c.route.Allows(r.Method) {
+		return nil, errkind.New(errkind.MethodNotAllowed, "the route "+c.route.PathPrefix+" of the contract of "+c.customer.Name+" does not allow "+r.Method)
+	}
+	c.repeatable = c.route.Repeatable(r.Method)
+	c.body, err = newUpload(r, c.customer)
+	return c, err
+}
+
+// identify finds the customer, the route and the service.
+func (e *Entry) identify(r *http.Request, path string) (*call, error) {
 	snapshot := e.snapshot()
 	if snapshot == nil {
 		return nil, errkind.New(errkind.NoConfiguration, "this daemon has no configuration yet")
@@ -82,22 +125,15 @@
 	if customer == nil {
 		return nil, errkind.New(errkind.Unauthenticated, "no contract has this API key; send it as Authorization: Bearer KEY")
 	}
-	route := customer.Route(r.URL.Path)
+	route := customer.Route(path)
 	if route == nil {
 		return nil, errkind.New(errkind.NoRoute, "the contract of "+customer.Name+" has no route for this path")
 	}
-	if !route.Allows(r.Method) {
-		return nil, errkind.New(errkind.MethodNotAllowed, "the route "+route.PathPrefix+" of the contract of "+customer.Name+" does not allow "+r.Method)
-	}
 	service := snapshot.Service(route.Service)
 	if service == nil || len(service.BackendServers) == 0 {
 		return nil, errkind.New(errkind.NoBackend, "service "+route.Service+" has no backend servers")
 	}
-	body, err := newUpload(r, customer)
-	if err != nil {
-		return nil, err
-	}
-	return &call{customer: customer, route: route, service: service, repeatable: route.Repeatable(r.Method), body: body}, nil
+	return &call{customer: customer, route: route, service: service}, nil
 }
 
 func apiKey(r *http.Request) string {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -11,27 +11,36 @@
 
 const maxTries = 3
 
-// forward tries backend servers until one answers or no further try is allowed.
+// forward has the request served and passes the response to the caller.
 func (e *Entry) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) error {
+	t, err := e.tries(ctx, r, c)
+	if err != nil {
+		return err
+	}
+	t.pass(w)
+	return nil
+}
+
+// tries tries backend servers until one answers or no further try is allowed.
+func (e *Entry) tries(ctx context.Context, r *http.Request, c *call) (*try, error) {
 	var last error = errkind.New(errkind.NoBackend, "service "+c.service.Name+" has no backend server to try")
 	tried := map[string]bool{}
 	for range maxTries {
 		backend := pick(c.service, tried)
 		if backend == nil {
-			return last
+			return nil, last
 		}
 		tried[backend.ID] = true
-		t := &try{call: c, backend: backend}
+		t := &try{call: c, backend: backend, vm: backend.VM.ID, address: backend.VM.PeerAddress}
 		last = t.do(ctx, e.transport, r)
 		if last == nil {
-			t.pass(w)
-			return nil
+			return t, nil
 		}
 		if !e.mayRetry(ctx, c, last) {
-			return last
+			return nil, last
 		}
 	}
-	return last
+	return nil, last
 }
 
 func (e *Entry) mayRetry(ctx context.Context, c *call, err error) bool {
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -21,10 +21,15 @@
 // can still end in a clear error or another try.
 const bufferedResponseBytes = 64 << 10
 
-// try is one attempt to have a request served by one backend server.
+// try is one attempt to have a request served by one backend server, or by the owner of its operation key.
 type try struct {
-	call      *call
-	backend   *catalog.BackendServer
+	call    *call
+	backend *catalog.BackendServer
+	// vm and address are those of the daemon that gets the request.
+	vm, address string
+	// ownerBody is the body of a request to the owner of an operation key, nil for requests to a backend server.
+	ownerBody []byte
+	toOwner   bool
 	connected atomic.Bool
 	response  *http.Response
 	body      io.Reader
@@ -46,15 +51,19 @@
 }
 
 func (t *try) request(ctx context.Context, r *http.Request) *http.Request {
-	u := &url.URL{Scheme: "http", Host: t.backend.VM.PeerAddress, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
+	u := &url.URL{Scheme: "http", Host: t.address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
 	out := (&http.Request{
 		Method: r.Method, URL: u, Host: r.Host, Header: http.Header{}, Proto: "HTTP/2.0", ProtoMajor: 2,
 	}).WithContext(ctx)
 	forward.CopyHeaders(out.Header, r.Header)
 	out.Header.Del("Authorization") // the API key is for the entry only
 	h := out.Header
-	h.Set(forward.HeaderBackend, t.backend.ID)
-	h.Set(forward.HeaderService, t.backend.Service)
+	if t.toOwner {
+		h.Set(forward.HeaderOperation, r.Header.Get(forward.HeaderIdempotencyKey))
+	} else {
+		h.Set(forward.HeaderBackend, t.backend.ID)
+		h.Set(forward.HeaderService, t.backend.Service)
+	}
 	h.Set(forward.HeaderCustomer, t.call.customer.Name)
 	h.Set(forward.HeaderRequestID, t.call.id)
 	h.Set(forward.HeaderPriority, strconv.Itoa(t.call.customer.Priority))
@@ -70,6 +79,9 @@
 
 func (t *try) attachBody(out *http.Request) {
 	body := t.call.body
+	if t.toOwner {
+		body = &upload{whole: t.ownerBody, buffered: true, length: int64(len(t.ownerBody))}
+	}
 	if body.length == 0 {
 		out.Body = http.NoBody
 		return
@@ -83,19 +95,20 @@
 }
 
 func (t *try) classify(ctx context.Context, err error) error {
-	if errors.Is(t.call.body.failed, errTooLarge) {
+	failure := t.call.body.failure()
+	if errors.Is(failure, errTooLarge) {
 		return errkind.New(errkind.RequestTooLarge, "the streamed body passed maxRequestBytes of the contract of "+t.call.customer.Name)
 	}
-	if t.call.body.failed != nil {
-		return errkind.Wrap(errkind.RequestBroken, t.call.body.failed, "the request body was cut")
+	if failure != nil {
+		return errkind.Wrap(errkind.RequestBroken, failure, "the request body was cut")
 	}
 	if !t.connected.Load() {
-		return errkind.Wrap(errkind.HomeUnreachable, err, "no connection to the daemon of VM "+t.backend.VM.ID)
+		return errkind.Wrap(errkind.HomeUnreachable, err, "no connection to the daemon of VM "+t.vm)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return errkind.Wrap(errkind.DeadlineExceeded, err, "no response within the deadline")
 	}
-	return errkind.Wrap(errkind.PathBroken, err, "the connection to the daemon of VM "+t.backend.VM.ID+" broke")
+	return errkind.Wrap(errkind.PathBroken, err, "the connection to the daemon of VM "+t.vm+" broke")
 }
 
 // check accepts only the whole answer to this very request.
@@ -135,7 +148,12 @@
 	defer t.response.Body.Close()
 	forward.CopyHeaders(w.Header(), t.response.Header)
 	w.Header().Set(forward.HeaderOutcome, errkind.Answered.String())
-	w.Header().Set(forward.HeaderBackend, t.backend.ID)
+	if t.backend != nil {
+		w.Header().Set(forward.HeaderBackend, t.backend.ID)
+	}
+	if t.response.Header.Get(forward.HeaderReplayed) != "" {
+		w.Header().Set(forward.HeaderReplayed, "true")
+	}
 	w.WriteHeader(t.response.StatusCode)
 	if !hasBody(t.response) {
 		return
--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
@@ -23,9 +24,9 @@
 	length   int64
 	limit    int64
 	customer string
-	touched  bool
-	// failed is the error of the caller's side.
-	failed error
+	// The transport's goroutine, which may still run when a try has ended, sets touched and failed.
+	touched atomic.Bool
+	failed  atomic.Pointer[error]
 }
 
 func newUpload(r *http.Request, customer *catalog.Customer) (*upload, error) {
@@ -69,7 +70,17 @@
 }
 
 // repeatable reports whether the body can be sent from its start.
-func (u *upload) repeatable() bool { return u.buffered || !u.touched }
+func (u *upload) repeatable() bool {
+	return u.buffered || !u.touched.Load()
+}
+
+// failure returns the error of the caller's side, or nil.
+func (u *upload) failure() error {
+	if cause := u.failed.Load(); cause != nil {
+		return *cause
+	}
+	return nil
+}
 
 // reader returns the body for one try.
 func (u *upload) reader() io.ReadCloser {
@@ -82,25 +93,34 @@
 // errTooLarge ends a streamed body that passes the contract's limit.
 var errTooLarge = errors.New("request body exceeds the limit of the contract")
 
-// streamReader reads a streamed body and enforces the size limit on bodies without a declared length.
+// streamReader reads a streamed body for one try and enforces the size limit on bodies without a declared length. A second
+// try gets one only while the first has read nothing and is closed, so two never read the stream at once.
 type streamReader struct {
 	upload *upload
 	left   int64
+	closed atomic.Bool
 }
 
 func (s *streamReader) Read(p []byte) (int, error) {
-	s.upload.touched = true
-	n, err := s.upload.stream.Read(p)
+	if s.closed.Load() {
+		return 0, http.ErrBodyReadAfterClose
+	}
+	u := s.upload
+	u.touched.Store(true)
+	n, err := u.stream.Read(p)
 	s.left -= int64(n)
 	if s.left < 0 {
-		s.upload.failed = errTooLarge
-		return 0, errTooLarge
+		err = errTooLarge
+		n = 0
 	}
 	if err != nil && err != io.EOF {
-		s.upload.failed = err
+		u.failed.Store(&err)
 	}
 	return n, err
 }
 
-// Close leaves the caller's body to net/http, because a refused try may be followed by another one.
-func (s *streamReader) Close() error { return nil }
+// Close ends the try. The caller's body stays open for net/http, because another try may follow.
+func (s *streamReader) Close() error {
+	s.closed.Store(true)
+	return nil
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -20,6 +20,7 @@
 	OperationInProgress
 	OperationConflict
 	OperationMemoryFull
+	AnswerNotRecorded
 	OwnerGone
 	RateLimited
 	ConcurrencyLimited
@@ -53,6 +54,8 @@
 	NotRun
 	// Answered means that the response is the backend server's own.
 	Answered
+	// Ran means that an at-most-once operation ran and ended, but its response is no longer available.
+	Ran
 )
 
 // String returns the value used in the Cowslip-Outcome header.
@@ -62,6 +65,8 @@
 		return "not-run"
 	case Answered:
 		return "answered"
+	case Ran:
+		return "ran"
 	default:
 		return "unknown"
 	}
@@ -92,6 +97,7 @@
 	OperationInProgress: {Name: "operation_in_progress", Status: 409, Outcome: Unknown, RetryAfter: time.Second},
 	OperationConflict:   {Name: "operation_conflict", Status: 409, Outcome: NotRun},
 	OperationMemoryFull: {Name: "operation_memory_full", Status: 503, Outcome: NotRun, RetryAfter: time.Second},
+	AnswerNotRecorded:   {Name: "answer_not_recorded", Status: 409, Outcome: Ran},
 	OwnerGone:           {Name: "owner_gone", Status: 503, Outcome: Unknown},
 	RateLimited:         {Name: "rate_limited", Status: 429, Outcome: NotRun, RetryAfter: time.Second},
 	ConcurrencyLimited:  {Name: "concurrency_limited", Status: 429, Outcome: NotRun, RetryAfter: time.Second},
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -25,9 +25,12 @@
 	HeaderServiceTime = "Cowslip-Service-Time-Us"
 	HeaderOutcome     = "Cowslip-Outcome"
 	HeaderErrorKind   = "Cowslip-Error-Kind"
-	HeaderRepeatable  = "Cowslip-Repeatable"
 	HeaderOperation   = "Cowslip-Operation"
 	HeaderEntry       = "Cowslip-Entry"
+	// HeaderVM names the VM of the daemon that responded to another daemon.
+	HeaderVM = "Cowslip-Vm"
+	// HeaderReplayed marks a recorded response of an at-most-once operation.
+	HeaderReplayed = "Cowslip-Replayed"
 	// HeaderCallerTimeout lets a caller shorten the deadline of its contract, in milliseconds.
 	HeaderCallerTimeout = "Cowslip-Timeout-Ms"
 	// HeaderOperationKey carries an issued key to the caller.
@@ -119,9 +122,9 @@
 	switch resp.Header.Get(HeaderOutcome) {
 	case errkind.Answered.String():
 		return nil
-	case errkind.NotRun.String(), errkind.Unknown.String():
+	case errkind.NotRun.String(), errkind.Unknown.String(), errkind.Ran.String():
 		kind, _ := errkind.Parse(resp.Header.Get(HeaderErrorKind))
-		return errkind.New(kind, "reported by the home daemon")
+		return errkind.New(kind, "reported by VM "+resp.Header.Get(HeaderVM))
 	default:
 		return errkind.New(errkind.PathBroken, "the response of the home daemon has no outcome")
 	}
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -30,16 +30,26 @@
 	address   string
 	// handedOver is set once a connection was obtained: from then on bytes may have reached the backend server.
 	handedOver atomic.Bool
-	started    time.Time
-	// serviceTime is the time from the start to the response header, or to the whole body of a buffered response.
+	// started is when the request was handed to the transport, uploaded when its body had been read to the end. Both are
+	// monotonic offsets from processStart in nanoseconds, and 0 before that. The control goroutine reads them.
+	started, uploaded atomic.Int64
+	// serviceTime is the backend server's own time: from the end of the upload to the response header, or to the whole body
+	// of a buffered response. A slow upload is the caller's time.
 	serviceTime time.Duration
-	response    *http.Response
+	// abandoned is true when the entry gave up before the deadline.
+	abandoned bool
+	response  *http.Response
 	// whole is the body of a buffered response.
 	whole []byte
-	// requestErr is the error of the request body, when reading it failed.
-	requestErr error
+	// requestErr is the error of the request body, when reading it failed. The transport's goroutine sets it.
+	requestErr atomic.Pointer[error]
 }
 
+// processStart is the origin of monotonic offsets, which fit into an atomic integer as time.Time does not.
+var processStart = time.Now()
+
+func sinceStart() int64 { return int64(max(time.Since(processStart), 1)) }
+
 // requestBody notes an error of the caller's side, so that it is not taken for a fault of the backend server.
 type requestBody struct {
 	io.ReadCloser
@@ -48,19 +58,42 @@
 
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil && err != io.EOF {
-		b.exchange.requestErr = err
+	switch err {
+	case nil:
+	case io.EOF:
+		b.exchange.uploaded.CompareAndSwap(0, sinceStart())
+	default:
+		b.exchange.requestErr.Store(&err)
 	}
 	return n, err
 }
 
+// serverStart returns when the backend server had the whole request, and false while the upload lasts.
+func (x *exchange) serverStart() (time.Time, bool) {
+	at := x.uploaded.Load()
+	return processStart.Add(time.Duration(at)), at != 0
+}
+
+// stop measures the service time up to now.
+func (x *exchange) stop() {
+	start, ok := x.serverStart()
+	if !ok {
+		// The backend server responded, or failed, before it had read the whole request.
+		start = processStart.Add(time.Duration(x.started.Load()))
+	}
+	x.serviceTime = max(time.Since(start), 0)
+}
+
 // send forwards r and waits for the response header. The error's kind tells whether the request was handed over.
 func (x *exchange) send(ctx context.Context, r *http.Request, body io.ReadCloser) error {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.handedOver.Store(true) }}
 	out := x.request(httptrace.WithClientTrace(ctx, trace), r, body)
-	x.started = time.Now()
+	x.started.Store(sinceStart())
+	if r.ContentLength == 0 {
+		x.uploaded.Store(x.started.Load())
+	}
 	resp, err := x.transport.RoundTrip(out)
-	x.serviceTime = time.Since(x.started)
+	x.stop()
 	if err != nil {
 		return x.classify(ctx, err)
 	}
@@ -96,15 +129,17 @@
 	return out
 }
 
+// classify gives the error of a failed exchange its kind.
 func (x *exchange) classify(ctx context.Context, err error) error {
+	x.abandoned = errors.Is(ctx.Err(), context.Canceled)
 	if !x.handedOver.Load() {
 		if ctx.Err() != nil {
 			return errkind.Wrap(errkind.DeadlineBeforeRun, err, "the deadline passed before a connection was ready")
 		}
 		return errkind.Wrap(errkind.BackendUnreachable, err, "no connection to the backend server")
 	}
-	if x.requestErr != nil {
-		return errkind.Wrap(errkind.RequestBroken, x.requestErr, "the request body was cut")
+	if cause := x.requestErr.Load(); cause != nil {
+		return errkind.Wrap(errkind.RequestBroken, *cause, "the request body was cut")
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return errkind.Wrap(errkind.DeadlineExceeded, err, "the backend server did not respond in time")
@@ -130,10 +165,10 @@
 	whole := make([]byte, resp.ContentLength)
 	_, err := io.ReadFull(resp.Body, whole)
 	resp.Body.Close()
-	x.serviceTime = time.Since(x.started)
+	x.stop()
 	if err != nil {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return errkind.Wrap(errkind.DeadlineExceeded, err, "the response was not whole in time")
+		if ctx.Err() != nil {
+			return x.classify(ctx, err)
 		}
 		return errkind.Wrap(errkind.AnswerInvalid, err, "the response was cut")
 	}
@@ -178,7 +213,7 @@
 }
 
 // copyBody passes the body on, followed by the trailers of the hop.
-func (x *exchange) copyBody(w http.ResponseWriter) error {
+func (x *exchange) copyBody(ctx context.Context, w http.ResponseWriter) error {
 	if x.whole != nil {
 		_, err := forward.CopyResponse(w, bytes.NewReader(x.whole))
 		return err
@@ -186,10 +221,12 @@
 	digest := newContentDigest(x.response.Header)
 	body := io.TeeReader(x.response.Body, writerFunc(digest.write))
 	if _, err := forward.CopyResponse(w, &checkedBody{body, digest}); err != nil {
-		if errors.Is(err, forward.ErrWrite) {
-			return errkind.Wrap(errkind.PathBroken, err, "the entry daemon is gone")
+		// The header came in good time, so neither a lost entry daemon nor the deadline of a long body is the backend
+		// server's fault.
+		if errors.Is(err, forward.ErrWrite) || ctx.Err() != nil {
+			return errkind.Wrap(errkind.PathBroken, err, "the entry daemon is gone or the deadline passed")
 		}
-		return errkind.Wrap(errkind.BackendBroken, err, "the response was cut")
+		return errkind.Wrap(errkind.AnswerInvalid, err, "the response was cut")
 	}
 	return nil
 }
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -11,35 +11,51 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/ejection"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/reservation"
 )
 
 // A request waits for a slot at most for the smaller of maxQueueWait and this share of its remaining time.
 const (
-	maxQueueWait       = 50 * time.Millisecond
-	queueShareDivisor  = 10
-	defaultDeadline    = 10 * time.Second
-	defaultPriorityHop = 5
+	maxQueueWait      = 50 * time.Millisecond
+	queueShareDivisor = 10
+	// fallbackDeadline and fallbackPriority apply to a forwarded request without the header, which only an older entry sends.
+	fallbackDeadline = 10 * time.Second
+	fallbackPriority = 5
 )
 
+// Observer is told of changes of a backend server's mode. It must not block.
+type Observer func(backend, service string, from, to ejection.Mode, reason string)
+
 // Options configures a Home.
 type Options struct {
 	// VM is the id of the VM that the daemon runs on.
 	VM string
 	// Transport connects to backend servers. Default: forward.NewBackendTransport().
 	Transport http.RoundTripper
+	// Observer is told of changes of mode. It may be nil.
+	Observer Observer
 }
 
 // Home serves the requests of all entries to the backend servers of one VM.
 type Home struct {
 	vm        string
 	transport http.RoundTripper
-	draining  atomic.Bool
+	observer  Observer
+	// leaving is set at the start of a drain: nothing is granted any more and entries are told to go elsewhere.
+	leaving atomic.Bool
+	// closed is set when the reservations granted have ended: new requests are refused.
+	closed atomic.Bool
 
 	mu      sync.RWMutex
 	members map[string]*member
+	// retired holds members that left the configuration with requests in flight.
+	retired []*member
+
+	reserveMu    sync.Mutex
+	reservations *reservation.Manager
 }
 
 // New returns a Home that knows no backend servers until Apply is called.
@@ -47,36 +63,13 @@
 	if o.Transport == nil {
 		o.Transport = forward.NewBackendTransport()
 	}
-	return &Home{vm: o.VM, transport: o.Transport, members: map[string]*member{}}
-}
-
-// Apply takes over the backend servers of this VM from a snapshot. Requests in flight to removed ones finish normally.
-func (h *Home) Apply(snapshot *catalog.Snapshot) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	next := map[string]*member{}
-	for _, svc := range snapshot.Services() {
-		for _, b := range svc.BackendServers {
-			if b.VM.ID == h.vm {
-				next[b.ID] = h.adopt(b)
-			}
-		}
-	}
-	for id, m := range h.members {
-		if next[id] == nil {
-			m.slots.refuseWaiters(errkind.New(errkind.NotHome, "the backend server left the configuration"))
-		}
-	}
-	h.members = next
-}
-
-func (h *Home) adopt(b *catalog.BackendServer) *member {
-	m := h.members[b.ID]
-	if m == nil || m.address != b.Address {
-		m = newMember(b)
+	if o.Observer == nil {
+		o.Observer = func(string, string, ejection.Mode, ejection.Mode, string) {}
+	}
+	return &Home{
+		vm: o.VM, transport: o.Transport, observer: o.Observer, members: map[string]*member{},
+		reservations: reservation.New(o.VM, time.Now()),
 	}
-	m.slots.setLimit(b.Slots)
-	return m
 }
 
 func (h *Home) member(id string) *member {
@@ -88,14 +81,16 @@
 // ServeHTTP handles one forwarded request.
 func (h *Home) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(forward.HeaderRequestID, r.Header.Get(forward.HeaderRequestID))
+	w.Header().Set(forward.HeaderVM, h.vm)
 	m := h.member(r.Header.Get(forward.HeaderBackend))
 	if m == nil {
 		forward.WriteError(w, errkind.New(errkind.NotHome, fmt.Sprintf("VM %s has no backend server %q", h.vm, r.Header.Get(forward.HeaderBackend))))
 		return
 	}
+	h.takeBaseline(m, r)
 	remaining, ok := forward.Deadline(r.Header)
 	if !ok {
-		remaining = defaultDeadline
+		remaining = fallbackDeadline
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), remaining)
 	defer cancel()
@@ -107,11 +102,29 @@
 	h.exchange(ctx, w, r, m)
 }
 
+// takeBaseline hands the entry's view of the service to the life cycle. A malformed one is ignored: it is a hint of a peer.
+func (h *Home) takeBaseline(m *member, r *http.Request) {
+	text := r.Header.Get(forward.HeaderBaseline)
+	if text == "" {
+		return
+	}
+	b, err := forward.ParseBaseline(text)
+	if err != nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.life.Baseline(time.Now(), r.Header.Get(forward.HeaderEntry), ejection.Baseline{Median: b.Median, ErrorShare: b.ErrorShare, Members: b.Members})
+}
+
 // admit takes a slot. All errors are refusals: nothing was handed over.
 func (h *Home) admit(ctx context.Context, m *member, r *http.Request, remaining time.Duration) error {
-	if h.draining.Load() {
+	if h.closed.Load() {
 		return errkind.New(errkind.Draining, "the VM is leaving")
 	}
+	if err := m.refusal(time.Now()); err != nil {
+		return err
+	}
 	wait := min(maxQueueWait, remaining/queueShareDivisor)
 	if err := m.slots.acquire(ctx, priorityOf(r), wait); err != nil {
 		return err
@@ -127,13 +140,13 @@
 func priorityOf(r *http.Request) int {
 	priority, err := strconv.Atoi(r.Header.Get(forward.HeaderPriority))
 	if err != nil {
-		return defaultPriorityHop
+		return fallbackPriority
 	}
 	return priority
 }
 
 func (h *Home) refuse(w http.ResponseWriter, m *member, err error) {
-	w.Header().Set(forward.HeaderState, m.state(h.draining.Load()))
+	w.Header().Set(forward.HeaderState, m.header(time.Now(), h.leaving.Load()))
 	var e *errkind.Error
 	if !errors.As(err, &e) {
 		e = errkind.Wrap(errkind.Internal, err, "")
@@ -147,56 +160,29 @@
 		body = forward.NewIncoming(r.Body, func() http.Header { return r.Trailer })
 	}
 	x := &exchange{transport: h.transport, address: m.address}
+	m.begin(x)
 	err := x.send(ctx, r, body)
 	if err != nil {
-		m.observe(x, err)
+		m.observe(time.Now(), x, err)
 		h.refuse(w, m, err)
 		return
 	}
 	defer x.response.Body.Close()
-	h.respond(w, m, x)
+	h.respond(ctx, w, m, x)
 }
 
-func (h *Home) respond(w http.ResponseWriter, m *member, x *exchange) {
+func (h *Home) respond(ctx context.Context, w http.ResponseWriter, m *member, x *exchange) {
 	header := w.Header()
 	forward.CopyHeaders(header, x.response.Header)
 	header.Set(forward.HeaderOutcome, errkind.Answered.String())
-	header.Set(forward.HeaderState, m.state(h.draining.Load()))
+	header.Set(forward.HeaderState, m.header(time.Now(), h.leaving.Load()))
 	header.Set(forward.HeaderServiceTime, strconv.FormatInt(x.serviceTime.Microseconds(), 10))
 	forward.DeclareTrailers(header)
 	w.WriteHeader(x.response.StatusCode)
-	err := x.copyBody(w)
-	m.observe(x, err)
+	err := x.copyBody(ctx, w)
+	m.observe(time.Now(), x, err)
 	if err != nil {
 		// The entry must see a broken stream, never a clean end.
 		panic(http.ErrAbortHandler)
 	}
 }
-
-// BeginDrain refuses new requests from now on.
-func (h *Home) BeginDrain() {
-	h.draining.Store(true)
-	h.mu.RLock()
-	defer h.mu.RUnlock()
-	for _, m := range h.members {
-		m.slots.refuseWaiters(errkind.New(errkind.Draining, "the VM is leaving"))
-	}
-}
-
-// WaitIdle waits until no request is in flight or ctx ends.
-func (h *Home) WaitIdle(ctx context.Context) error {
-	h.mu.RLock()
-	members := make([]*member, 0, len(h.members))
-	for _, m := range h.members {
-		members = append(members, m)
-	}
-	h.mu.RUnlock()
-	for _, m := range members {
-		select {
-		case <-m.slots.whenIdle():
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	return nil
-}
--- a/internal/home/member.go
+++ b/internal/home/member.go
@@ -2,30 +2,212 @@
 
 import (
 	"fmt"
+	"net/http"
+	"reflect"
+	"sync"
+	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/ejection"
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/reservation"
 )
 
-// member is a backend server of this VM.
+// overdueFactor is how many times the baseline a request must have been in flight before it counts as evidence while it is
+// still running. Without that, a backend server that hangs shows nothing until the callers' deadlines pass.
+const overdueFactor = 8
+
+// member is a backend server of this VM with its slots and its life cycle.
 type member struct {
-	id      string
-	service string
-	address string
-	slots   *slots
+	id         string
+	service    string
+	address    string
+	healthPath string
+	slotCount  int
+	config     ejection.Config
+	slots      *slots
+
+	mu   sync.Mutex
+	life *ejection.Backend
+	// mode is the last mode that was reported to the observer.
+	mode ejection.Mode
+	// probing is true while a probe is on its way.
+	probing bool
+	running map[*exchange]*overdue
+}
+
+// overdue tracks how often a running request has already counted as evidence.
+type overdue struct {
+	next time.Duration
+}
+
+func newMember(b *catalog.BackendServer, svc *catalog.Service, cfg ejection.Config, now time.Time) *member {
+	return &member{
+		id: b.ID, service: b.Service, address: b.Address, healthPath: svc.HealthPath, slotCount: b.Slots, config: cfg,
+		slots: newSlots(b.Slots), life: ejection.NewBackend(cfg, b.Slots, now), running: map[*exchange]*overdue{},
+	}
+}
+
+// sameTerms reports whether the member can keep its life cycle under a changed configuration.
+func (m *member) sameTerms(b *catalog.BackendServer, cfg ejection.Config) bool {
+	return m.address == b.Address && m.service == b.Service && m.slotCount == b.Slots && reflect.DeepEqual(m.config, cfg)
+}
+
+// state returns the life cycle's state and applies its limit to the slots.
+func (m *member) state(now time.Time) ejection.State {
+	m.mu.Lock()
+	st := m.life.State(now)
+	m.mu.Unlock()
+	m.slots.setLimit(st.Allowed)
+	return st
+}
+
+// header returns the value of the Cowslip-State header. The time to live of a mode that depends on a permit is the permit's.
+func (m *member) header(now time.Time, leaving bool) string {
+	st := m.state(now)
+	inFlight, waiting, _ := m.slots.load()
+	mode, ttl := st.Mode.String(), st.Remaining
+	if st.Mode.Out() {
+		ttl = st.Permit
+	}
+	if leaving {
+		mode, ttl = ejection.Draining.String(), 0
+	}
+	return forward.State{InFlight: inFlight + waiting, Slots: m.slotCount, Allowed: st.Allowed, Mode: mode, Remaining: ttl}.String()
+}
+
+// refusal returns the reason for which the mode refuses new work, or nil.
+func (m *member) refusal(now time.Time) error {
+	switch st := m.state(now); {
+	case st.Mode == ejection.Draining:
+		return errkind.New(errkind.Draining, "backend server "+m.id+" is leaving")
+	case st.Mode.Out():
+		return errkind.New(errkind.Ejected, "backend server "+m.id+" is ejected")
+	}
+	return nil
+}
+
+func (m *member) begin(x *exchange) {
+	m.mu.Lock()
+	m.running[x] = &overdue{}
+	m.mu.Unlock()
+}
+
+// observe ends an exchange and hands its evidence to the life cycle. The outcome of the caller's side is not evidence.
+func (m *member) observe(now time.Time, x *exchange, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.running, x)
+	result, ok := x.result(err)
+	if !ok {
+		return
+	}
+	if x.abandoned && x.serviceTime < m.life.Explain(now).BaselineMedian {
+		return // the caller left early: the true time is only known to be longer
+	}
+	m.life.Observe(now, ejection.Sample{ServiceTime: x.serviceTime, Result: result})
 }
 
-func newMember(b *catalog.BackendServer) *member {
-	return &member{id: b.ID, service: b.Service, address: b.Address, slots: newSlots(b.Slots)}
+// result maps the end of an exchange to evidence, and false when it says nothing about the backend server.
+func (x *exchange) result(err error) (ejection.Result, bool) {
+	if err == nil {
+		return resultOfResponse(x.response), true
+	}
+	switch errkind.Of(err) {
+	case errkind.BackendUnreachable, errkind.BackendBroken:
+		if x.abandoned {
+			return ejection.OK, x.handedOver.Load()
+		}
+		return ejection.Failed, true
+	case errkind.AnswerInvalid:
+		return ejection.Invalid, true
+	case errkind.DeadlineExceeded:
+		return ejection.OK, true // late, with the time it took so far
+	case errkind.PathBroken:
+		return resultOfResponse(x.response), true
+	default:
+		return ejection.OK, false
+	}
+}
+
+func resultOfResponse(resp *http.Response) ejection.Result {
+	switch {
+	case resp.StatusCode == http.StatusTooManyRequests,
+		resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "":
+		return ejection.Shed
+	case resp.StatusCode >= 500:
+		return ejection.Failed
+	default:
+		return ejection.OK
+	}
 }
 
-// state returns the value of the Cowslip-State header.
-func (m *member) state(draining bool) string {
-	inFlight, waiting, limit := m.slots.load()
-	mode := "active"
-	if draining {
-		mode = "draining"
+// tick lets time pass: overdue requests become evidence, and the state changes that are due are made.
+func (m *member) tick(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.life.Tick(now)
+	reference := m.life.Explain(now).BaselineMedian
+	if reference <= 0 {
+		return
 	}
-	return fmt.Sprintf("inflight=%d;slots=%d;mode=%s", inFlight+waiting, limit, mode)
+	for x, o := range m.running {
+		start, ok := x.serverStart()
+		if !ok {
+			continue
+		}
+		if o.next == 0 {
+			o.next = overdueFactor * reference
+		}
+		if elapsed := now.Sub(start); elapsed >= o.next {
+			o.next *= 2
+			m.life.Observe(now, ejection.Sample{ServiceTime: elapsed, Result: ejection.OK})
+		}
+	}
+}
+
+// condition is what the reservations need to know.
+func (m *member) condition(now time.Time, leaving bool) reservation.Condition {
+	if leaving {
+		return reservation.Leaving
+	}
+	switch mode := m.state(now).Mode; mode {
+	case ejection.Active:
+		return reservation.Active
+	case ejection.Suspect:
+		return reservation.Suspect
+	case ejection.Ejected, ejection.Probing:
+		return reservation.Out
+	case ejection.Ramping:
+		return reservation.Ramping
+	case ejection.Draining:
+		return reservation.Leaving
+	default:
+		return reservation.Warming
+	}
+}
+
+// Explanation describes one backend server for operators.
+type Explanation struct {
+	BackendServer string
+	Service       string
+	Address       string
+	InFlight      int
+	Waiting       int
+	Slots         int
+	Ejection      ejection.Explanation
+	// HeldInServiceUntil is the end of the reservations granted to siblings; before it the backend server cannot be ejected.
+	HeldInServiceUntil time.Time
+}
+
+func (m *member) explain(now time.Time) Explanation {
+	m.mu.Lock()
+	e := m.life.Explain(now)
+	m.mu.Unlock()
+	inFlight, waiting, _ := m.slots.load()
+	return Explanation{BackendServer: m.id, Service: m.service, Address: m.address, InFlight: inFlight, Waiting: waiting, Slots: m.slotCount, Ejection: e}
 }
 
-func (m *member) observe(*exchange, error) {}
+// String returns a short form for logs.
+func (m *member) String() string { return fmt.Sprintf("%s of %s", m.id, m.service) }
