Make the catalog compact and incremental

Edit puts values one at a time, so that a start needs the decoded documents of one value only. Look-ups and their types are unchanged; Customers() builds its map per call, EachCustomer and CustomerCount need none. An API key or backend server id that two documents claim stays with the first and is listed by Conflicts.

Ruled out: one map per kind that is cloned per change (37,000 entries), and moving to indices instead of pointers (callers hold *Customer).

--- a/internal/catalog/build.go
+++ b/internal/catalog/build.go
@@ -1,44 +1,19 @@
 package catalog
 
 import (
-	"crypto/sha256"
+	"cmp"
 	"encoding/hex"
+	"maps"
 	"slices"
-	"strings"
-	"time"
+	"strconv"
 
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 )
 
-// Defaults of the documents.
-const (
-	DefaultDeadline           = 10 * time.Second
-	DefaultRetryBudgetPercent = 10
-	DefaultPriority           = 5
-	DefaultMaxRequestBytes    = 1 << 20
-	DefaultSlots              = 5
-	DefaultFloorPercent       = 70
-	DefaultPreset             = "few-false-ejections"
-	DefaultHealthPath         = "/healthz"
-)
-
-// KeyDigest is the SHA-256 digest of an API key.
-type KeyDigest [sha256.Size]byte
-
-// DigestOf returns the digest of an API key.
-func DigestOf(apiKey string) KeyDigest { return sha256.Sum256([]byte(apiKey)) }
-
-// Snapshot is the configuration in force. It does not change after Build.
-type Snapshot struct {
-	byKey     map[KeyDigest]*Customer
-	customers map[string]*Customer
-	services  map[string]*Service
-	backends  map[string]*BackendServer
-	vms       map[string]*VM
-}
-
 // Source is the content of one value of the configuration service with its revision.
 type Source struct {
+	// Value is the name of the value, such as "contracts/007". Build accepts sources without a name.
+	Value     string
 	Revision  uint64
 	Documents contract.Documents
 }
@@ -46,154 +21,260 @@
 // Build compiles checked documents. References to unknown data centres or VMs leave the locality empty, so that a value
 // that arrives late does not block the rest.
 func Build(sources []Source) *Snapshot {
-	s := &Snapshot{
-		byKey:     map[KeyDigest]*Customer{},
-		customers: map[string]*Customer{},
-		services:  map[string]*Service{},
-		backends:  map[string]*BackendServer{},
-		vms:       map[string]*VM{},
-	}
-	regions := map[string]string{}
-	for _, src := range sources {
-		for _, dc := range src.Documents.DataCentres {
-			regions[dc.DataCentre] = dc.Region
+	edit := new(Snapshot).Edit()
+	for i, src := range sources {
+		if src.Value == "" {
+			src.Value = "#" + strconv.Itoa(i)
 		}
+		edit.Put(src)
 	}
-	for _, src := range sources {
-		for _, vm := range src.Documents.VMs {
-			locality := Locality{DataCentre: vm.DataCentre, Region: regions[vm.DataCentre]}
-			s.vms[vm.VM] = &VM{ID: vm.VM, Locality: locality, PeerAddress: vm.PeerAddress, AdminAddress: vm.AdminAddress}
-		}
+	return edit.Snapshot()
+}
+
+// Replace returns a snapshot with the content of one value replaced.
+func (s *Snapshot) Replace(src Source) *Snapshot {
+	edit := s.Edit()
+	edit.Put(src)
+	return edit.Snapshot()
+}
+
+// Edit prepares the next snapshot. Putting values one after the other needs the decoded documents of one value at a time,
+// which matters at start, when all values are compiled. An Edit is used by one goroutine.
+type Edit struct {
+	base      *Snapshot
+	compile   *compiler
+	parts     map[string]*part
+	customers *tableEdit[Customer]
+	keys      *tableEdit[Customer]
+	backends  *tableEdit[BackendServer]
+	services  map[string]*Service
+
+	touched      map[string]bool // values put by this edit; it may change their services
+	servicesOwn  bool
+	localityDiff bool
+	shadowed     bool
+}
+
+// Edit returns an Edit that starts from the snapshot.
+func (s *Snapshot) Edit() *Edit {
+	e := &Edit{base: s, compile: newCompiler(), parts: maps.Clone(s.parts), services: s.services, touched: map[string]bool{}}
+	if e.parts == nil {
+		e.parts = map[string]*part{}
+	}
+	e.customers, e.keys, e.backends = s.customers.edit(), s.keys.edit(), s.backends.edit()
+	return e
+}
+
+// Put replaces the content of the value that the source names. The documents of the source may be reused afterwards, but
+// not their maps and texts.
+func (e *Edit) Put(src Source) {
+	old, next := e.parts[src.Value], e.compile.part(src)
+	if old == nil {
+		old = &part{}
+	}
+	e.parts[src.Value] = next
+	e.touched[src.Value] = true
+	e.replaceCustomers(old.customers, next.customers)
+	if len(old.services) > 0 || len(next.services) > 0 {
+		e.replaceServices(old.services, next.services)
+	}
+	if !slices.Equal(old.vms, next.vms) || !maps.Equal(old.regions, next.regions) {
+		e.localityDiff = true
 	}
-	for _, src := range sources {
-		for i := range src.Documents.Services {
-			s.addService(&src.Documents.Services[i], src.Revision)
+}
+
+func (e *Edit) replaceCustomers(old, next []Customer) {
+	before := make(map[string]*Customer, len(old))
+	for i := range old {
+		before[old[i].Name] = &old[i]
+	}
+	for i := range next {
+		c := &next[i]
+		sameName := func(other *Customer) bool { return other.Name == c.Name }
+		e.customers.put(hashOf(c.Name), c, sameName)
+		for k := range c.keys {
+			if e.keys.put(c.keys[k].hash(), c, sameName) > 1 {
+				e.shadowed = true
+			}
 		}
-		for i := range src.Documents.Contracts {
-			s.addContract(&src.Documents.Contracts[i])
+		if previous := before[c.Name]; previous != nil {
+			e.removeKeys(previous, c.keys)
+			delete(before, c.Name)
 		}
 	}
-	return s
+	for _, c := range before {
+		e.customers.remove(hashOf(c.Name), func(other *Customer) bool { return other.Name == c.Name })
+		e.removeKeys(c, nil)
+	}
 }
 
-func (s *Snapshot) addService(doc *contract.Service, revision uint64) {
-	svc := &Service{
-		Name:       doc.Service,
-		Revision:   revision,
-		Floor:      FloorCount(len(doc.BackendServers), orDefault(doc.FloorPercent, DefaultFloorPercent)),
-		Preset:     orDefault(doc.Preset, DefaultPreset),
-		Detector:   doc.Detector,
-		HealthPath: orDefault(doc.HealthPath, DefaultHealthPath),
-	}
-	for _, b := range doc.BackendServers {
-		backend := &BackendServer{ID: b.ID, Service: doc.Service, Address: b.Address, Slots: orDefault(b.Slots, DefaultSlots), VM: s.vms[b.VM]}
-		if backend.VM == nil {
-			backend.VM = &VM{ID: b.VM}
+func (e *Edit) removeKeys(c *Customer, except []KeyDigest) {
+	for k := range c.keys {
+		hash := c.keys[k].hash()
+		if !slices.ContainsFunc(except, func(d KeyDigest) bool { return d.hash() == hash }) {
+			e.keys.remove(hash, func(other *Customer) bool { return other.Name == c.Name })
 		}
-		svc.BackendServers = append(svc.BackendServers, backend)
-		s.backends[b.ID] = backend
 	}
-	s.services[doc.Service] = svc
 }
 
-func (s *Snapshot) addContract(doc *contract.Contract) {
-	c := &Customer{
-		Name:               doc.Customer,
-		Generation:         doc.Generation,
-		Limits:             doc.Limits,
-		Deadline:           orDefault(time.Duration(doc.Deadline), DefaultDeadline),
-		RetryBudgetPercent: valueOr(doc.RetryBudgetPercent, DefaultRetryBudgetPercent),
-		Priority:           valueOr(doc.Priority, DefaultPriority),
-		SpillToOtherRegion: doc.OtherRegion == "spill",
+func (e *Edit) ownServices() {
+	if !e.servicesOwn {
+		e.servicesOwn = true
+		e.services = maps.Clone(e.services)
+		if e.services == nil {
+			e.services = map[string]*Service{}
+		}
 	}
-	c.Limits.MaxRequestBytes = orDefault(c.Limits.MaxRequestBytes, DefaultMaxRequestBytes)
-	c.Limits.Burst = orDefault(c.Limits.Burst, max(1, int(c.Limits.RatePerSecond)))
-	for _, r := range doc.Routes {
-		c.Routes = append(c.Routes, Route{
-			PathPrefix:   r.PathPrefix,
-			Methods:      r.Methods,
-			Service:      r.Service,
-			AtMostOnce:   r.AtMostOnce,
-			SafeToRepeat: r.SafeToRepeat,
-			Deadline:     orDefault(time.Duration(r.Deadline), c.Deadline),
-		})
+}
+
+func (e *Edit) replaceServices(old, next []*Service) {
+	e.ownServices()
+	present := map[string]bool{}
+	for _, svc := range next {
+		e.services[svc.Name] = svc
+		for _, b := range svc.BackendServers {
+			present[b.ID+" "+b.Service] = true
+			e.putBackend(b)
+		}
 	}
-	slices.SortStableFunc(c.Routes, func(a, b Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
-	s.customers[c.Name] = c
-	for _, text := range doc.APIKeySHA256 {
-		var digest KeyDigest
-		if n, err := hex.Decode(digest[:], []byte(text)); err == nil && n == len(digest) {
-			s.byKey[digest] = c
+	for _, svc := range old {
+		if !slices.ContainsFunc(next, func(s *Service) bool { return s.Name == svc.Name }) {
+			delete(e.services, svc.Name)
+		}
+		for _, b := range svc.BackendServers {
+			if !present[b.ID+" "+b.Service] {
+				e.backends.remove(hashOf(b.ID), b.sameAs)
+			}
 		}
 	}
 }
 
-// CustomerByKey returns the customer that an API key identifies, or nil.
-func (s *Snapshot) CustomerByKey(digest KeyDigest) *Customer { return s.byKey[digest] }
-
-// Customer returns the customer with the name, or nil.
-func (s *Snapshot) Customer(name string) *Customer { return s.customers[name] }
-
-// Service returns the service with the name, or nil.
-func (s *Snapshot) Service(name string) *Service { return s.services[name] }
-
-// BackendServer returns the backend server with the id, or nil.
-func (s *Snapshot) BackendServer(id string) *BackendServer { return s.backends[id] }
-
-// VM returns the VM with the id, or nil.
-func (s *Snapshot) VM(id string) *VM { return s.vms[id] }
-
-// VMs returns all VMs by id. The map must not be changed.
-func (s *Snapshot) VMs() map[string]*VM { return s.vms }
-
-// Services returns all services by name. The map must not be changed.
-func (s *Snapshot) Services() map[string]*Service { return s.services }
+func (b *BackendServer) sameAs(other *BackendServer) bool {
+	return other.ID == b.ID && other.Service == b.Service
+}
 
-// Customers returns all customers by name. The map must not be changed.
-func (s *Snapshot) Customers() map[string]*Customer { return s.customers }
+func (e *Edit) putBackend(b *BackendServer) {
+	if e.backends.put(hashOf(b.ID), b, b.sameAs) > 1 {
+		e.shadowed = true
+	}
+}
 
-// Route returns the route of the customer with the longest prefix that matches path, or nil.
-func (c *Customer) Route(path string) *Route {
-	for i := range c.Routes {
-		if c.Routes[i].matches(path) {
-			return &c.Routes[i]
+// Snapshot returns the new snapshot. The Edit must not be used afterwards.
+func (e *Edit) Snapshot() *Snapshot {
+	vms := e.base.vms
+	if e.localityDiff || vms == nil {
+		vms = e.resolveVMs()
+		for name := range e.parts {
+			e.resolveServices(name, vms)
+		}
+	} else {
+		for name := range e.touched {
+			e.resolveServices(name, vms)
 		}
 	}
-	return nil
+	s := &Snapshot{parts: e.parts, services: e.services, vms: vms}
+	if s.services == nil {
+		s.services = map[string]*Service{}
+	}
+	s.customers, s.keys, s.backends = e.customers.finish(), e.keys.finish(), e.backends.finish()
+	if e.shadowed || len(e.base.conflicts) > 0 {
+		s.conflicts = s.findConflicts()
+	}
+	return s
 }
 
-func (r *Route) matches(path string) bool {
-	prefix := strings.TrimSuffix(r.PathPrefix, "/")
-	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || path[len(prefix)] == '/')
+// resolveVMs returns all VMs with their locality. VMs that did not change keep their pointers, so that only the services
+// with a changed VM are copied.
+func (e *Edit) resolveVMs() map[string]*VM {
+	regions := map[string]string{}
+	for _, p := range e.parts {
+		maps.Copy(regions, p.regions)
+	}
+	vms := map[string]*VM{}
+	for _, p := range e.parts {
+		for _, doc := range p.vms {
+			vm := VM{ID: doc.VM, Locality: Locality{doc.DataCentre, regions[doc.DataCentre]}, PeerAddress: doc.PeerAddress, AdminAddress: doc.AdminAddress}
+			if old := e.base.vms[doc.VM]; old != nil && *old == vm {
+				vms[doc.VM] = old
+			} else {
+				vms[doc.VM] = &vm
+			}
+		}
+	}
+	return vms
 }
 
-// Allows reports whether the route accepts the HTTP method.
-func (r *Route) Allows(method string) bool {
-	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
+// resolveServices points the backend servers of a value to their VMs. Services of older snapshots are copied.
+func (e *Edit) resolveServices(value string, vms map[string]*VM) {
+	p := e.parts[value]
+	copied := false
+	for i, svc := range p.services {
+		if !slices.ContainsFunc(svc.BackendServers, func(b *BackendServer) bool { return b.VM != vmOf(b, vms) }) {
+			continue
+		}
+		if e.touched[value] {
+			for _, b := range svc.BackendServers {
+				b.VM = vmOf(b, vms)
+			}
+			continue
+		}
+		if !copied {
+			copied = true
+			next := *p
+			next.services = slices.Clone(p.services)
+			e.parts[value] = &next
+		}
+		e.parts[value].services[i] = e.moveService(svc, vms)
+	}
 }
 
-// Repeatable reports whether a request may be tried again although the first try may have run.
-func (r *Route) Repeatable(method string) bool {
-	if r.AtMostOnce {
-		return false
-	}
-	if r.SafeToRepeat != nil {
-		return *r.SafeToRepeat
+// moveService returns a copy of the service whose backend servers point to their VMs.
+func (e *Edit) moveService(svc *Service, vms map[string]*VM) *Service {
+	moved := *svc
+	moved.BackendServers = make([]*BackendServer, len(svc.BackendServers))
+	for i, b := range svc.BackendServers {
+		backend := *b
+		backend.VM = vmOf(b, vms)
+		moved.BackendServers[i] = &backend
+		e.putBackend(&backend)
 	}
-	return method == "GET" || method == "HEAD" || method == "OPTIONS"
+	e.ownServices()
+	e.services[moved.Name] = &moved
+	return &moved
 }
 
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
+// vmOf returns the VM of the backend server. An unknown VM has an id only.
+func vmOf(b *BackendServer, vms map[string]*VM) *VM {
+	if vm := vms[b.VM.ID]; vm != nil {
+		return vm
 	}
-	return value
+	if unknown := (VM{ID: b.VM.ID}); *b.VM != unknown {
+		return &unknown
+	}
+	return b.VM
 }
 
-func valueOr[T any](value *T, fallback T) T {
-	if value == nil {
-		return fallback
+func (s *Snapshot) findConflicts() []Conflict {
+	var out []Conflict
+	for _, p := range s.parts {
+		for i := range p.customers {
+			c := &p.customers[i]
+			for k := range c.keys {
+				if holder := s.CustomerByKey(c.keys[k]); holder != nil && holder.Name != c.Name {
+					out = append(out, Conflict{ConflictAPIKey, hex.EncodeToString(c.keys[k][:]), holder.Name, c.Name})
+				}
+			}
+		}
+		for _, svc := range p.services {
+			for _, b := range svc.BackendServers {
+				if holder := s.BackendServer(b.ID); holder != nil && holder.Service != b.Service {
+					out = append(out, Conflict{ConflictBackendServer, b.ID, holder.Service, b.Service})
+				}
+			}
+		}
 	}
-	return *value
+	slices.SortFunc(out, func(a, b Conflict) int {
+		return cmp.Or(cmp.Compare(a.What, b.What), cmp.Compare(a.ID, b.ID), cmp.Compare(a.Refused, b.Refused))
+	})
+	return out
 }
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -1,71 +1,107 @@
 package catalog
 
 import (
-	"math"
-	"time"
+	"encoding/binary"
+	"iter"
 
-	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cespare/xxhash/v2"
 )
 
-// Locality says where a VM is.
-type Locality struct {
-	DataCentre string
-	Region     string
+// Snapshot is the configuration in force. It does not change; Edit and Replace return new ones that share what is equal.
+type Snapshot struct {
+	parts     map[string]*part
+	customers table[Customer]
+	keys      table[Customer]
+	backends  table[BackendServer]
+	services  map[string]*Service
+	vms       map[string]*VM
+	conflicts []Conflict
 }
 
-// VM is a VM with its locality resolved.
-type VM struct {
-	ID           string
-	Locality     Locality
-	PeerAddress  string
-	AdminAddress string
+// Conflict is an identifier that two documents claim. The document that was in force first keeps it.
+type Conflict struct {
+	// What is ConflictAPIKey or ConflictBackendServer.
+	What string `json:"what"`
+	// ID is the digest of the API key in hex, or the id of the backend server.
+	ID string `json:"id"`
+	// InForce and Refused are the customers, or the services, that claim it.
+	InForce string `json:"inForce"`
+	Refused string `json:"refused"`
 }
 
-// BackendServer is a backend server with its VM resolved.
-type BackendServer struct {
-	ID      string
-	Service string
-	Address string
-	Slots   int
-	VM      *VM
+// What two documents can claim.
+const (
+	ConflictAPIKey        = "api-key"
+	ConflictBackendServer = "backend-server"
+)
+
+func hashOf(name string) uint64 { return xxhash.Sum64String(name) }
+
+func (d *KeyDigest) hash() uint64 { return binary.LittleEndian.Uint64(d[:]) }
+
+// CustomerByKey returns the customer that an API key identifies, or nil.
+func (s *Snapshot) CustomerByKey(digest KeyDigest) *Customer {
+	hash := digest.hash()
+	for _, e := range s.keys.slot(hash) {
+		if e.hash == hash && e.value.hasKey(&digest) {
+			return e.value
+		}
+	}
+	return nil
 }
 
-// Service is a service with defaults filled in.
-type Service struct {
-	Name string
-	// Revision is the platform's revision of the value that holds the service. Reservations compare it.
-	Revision uint64
-	// Floor is the number of backend servers that ejection must leave in service.
-	Floor          int
-	Preset         string
-	Detector       map[string]float64
-	HealthPath     string
-	BackendServers []*BackendServer
+// Customer returns the customer with the name, or nil.
+func (s *Snapshot) Customer(name string) *Customer {
+	hash := hashOf(name)
+	for _, e := range s.customers.slot(hash) {
+		if e.hash == hash && e.value.Name == name {
+			return e.value
+		}
+	}
+	return nil
 }
 
-// Customer is a contract with defaults filled in.
-type Customer struct {
-	Name               string
-	Generation         uint64
-	Routes             []Route
-	Limits             contract.Limits
-	Deadline           time.Duration
-	RetryBudgetPercent int
-	Priority           int
-	SpillToOtherRegion bool
+// BackendServer returns the backend server with the id, or nil.
+func (s *Snapshot) BackendServer(id string) *BackendServer {
+	hash := hashOf(id)
+	for _, e := range s.backends.slot(hash) {
+		if e.hash == hash && e.value.ID == id {
+			return e.value
+		}
+	}
+	return nil
 }
 
-// Route is a route of a customer with defaults filled in.
-type Route struct {
-	PathPrefix   string
-	Methods      []string
-	Service      string
-	AtMostOnce   bool
-	SafeToRepeat *bool
-	Deadline     time.Duration
+// Service returns the service with the name, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// VM returns the VM with the id, or nil.
+func (s *Snapshot) VM(id string) *VM { return s.vms[id] }
+
+// VMs returns all VMs by id. The map must not be changed.
+func (s *Snapshot) VMs() map[string]*VM { return s.vms }
+
+// Services returns all services by name. The map must not be changed.
+func (s *Snapshot) Services() map[string]*Service { return s.services }
+
+// Customers returns all customers by name. Each call builds the map; EachCustomer needs no memory.
+func (s *Snapshot) Customers() map[string]*Customer {
+	out := make(map[string]*Customer, s.customers.count)
+	for c := range s.EachCustomer() {
+		out[c.Name] = c
+	}
+	return out
 }
 
-// FloorCount returns the number of backend servers, of total, that percent requires, rounded up.
-func FloorCount(total, percent int) int {
-	return int(math.Ceil(float64(total) * float64(percent) / 100))
+// EachCustomer returns all customers in no particular order.
+func (s *Snapshot) EachCustomer() iter.Seq[*Customer] {
+	return func(yield func(*Customer) bool) {
+		s.customers.all(func(_ uint64, c *Customer) bool { return yield(c) })
+	}
 }
+
+// CustomerCount returns the number of customers.
+func (s *Snapshot) CustomerCount() int { return s.customers.count }
+
+// Conflicts returns the identifiers that two documents claim.
+func (s *Snapshot) Conflicts() []Conflict { return s.conflicts }
--- /dev/null
+++ b/internal/catalog/types.go
@@ -0,0 +1,134 @@
+package catalog
+
+import (
+	"crypto/sha256"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+)
+
+// Defaults of the documents.
+const (
+	DefaultDeadline           = 10 * time.Second
+	DefaultRetryBudgetPercent = 10
+	DefaultPriority           = 5
+	DefaultMaxRequestBytes    = 1 << 20
+	DefaultSlots              = 5
+	DefaultFloorPercent       = 70
+	DefaultPreset             = "few-false-ejections"
+	DefaultHealthPath         = "/healthz"
+)
+
+// KeyDigest is the SHA-256 digest of an API key.
+type KeyDigest [sha256.Size]byte
+
+// DigestOf returns the digest of an API key.
+func DigestOf(apiKey string) KeyDigest { return sha256.Sum256([]byte(apiKey)) }
+
+// Locality says where a VM is.
+type Locality struct {
+	DataCentre string
+	Region     string
+}
+
+// VM is a VM with its locality resolved.
+type VM struct {
+	ID           string
+	Locality     Locality
+	PeerAddress  string
+	AdminAddress string
+}
+
+// BackendServer is a backend server with its VM resolved.
+type BackendServer struct {
+	ID      string
+	Service string
+	Address string
+	Slots   int
+	VM      *VM
+}
+
+// Service is a service with defaults filled in.
+type Service struct {
+	Name string
+	// Revision is the platform's revision of the value that holds the service. Reservations compare it.
+	Revision uint64
+	// Floor is the number of backend servers that ejection must leave in service.
+	Floor          int
+	Preset         string
+	Detector       map[string]float64
+	HealthPath     string
+	BackendServers []*BackendServer
+}
+
+// Customer is a contract with defaults filled in.
+type Customer struct {
+	Name               string
+	Generation         uint64
+	Routes             []Route
+	Limits             contract.Limits
+	Deadline           time.Duration
+	RetryBudgetPercent int
+	Priority           int
+	SpillToOtherRegion bool
+
+	keys []KeyDigest
+}
+
+func (c *Customer) hasKey(digest *KeyDigest) bool {
+	for i := range c.keys {
+		if c.keys[i] == *digest {
+			return true
+		}
+	}
+	return false
+}
+
+// Route is a route of a customer with defaults filled in.
+type Route struct {
+	PathPrefix   string
+	Methods      []string
+	Service      string
+	AtMostOnce   bool
+	SafeToRepeat *bool
+	Deadline     time.Duration
+}
+
+// FloorCount returns the number of backend servers, of total, that percent requires, rounded up.
+func FloorCount(total, percent int) int {
+	return int(math.Ceil(float64(total) * float64(percent) / 100))
+}
+
+// Route returns the route of the customer with the longest prefix that matches path, or nil.
+func (c *Customer) Route(path string) *Route {
+	for i := range c.Routes {
+		if c.Routes[i].matches(path) {
+			return &c.Routes[i]
+		}
+	}
+	return nil
+}
+
+func (r *Route) matches(path string) bool {
+	prefix := strings.TrimSuffix(r.PathPrefix, "/")
+	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || path[len(prefix)] == '/')
+}
+
+// Allows reports whether the route accepts the HTTP method.
+func (r *Route) Allows(method string) bool {
+	return len(r.Methods) == 0 || slices.Contains(r.Methods, method)
+}
+
+// Repeatable reports whether a request may be tried again although the first try may have run.
+func (r *Route) Repeatable(method string) bool {
+	if r.AtMostOnce {
+		return false
+	}
+	if r.SafeToRepeat != nil {
+		return *r.SafeToRepeat
+	}
+	return method == "GET" || method == "HEAD" || method == "OPTIONS"
+}
--- a/internal/contract/check.go
+++ b/internal/contract/check.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
 	"fmt"
 	"net"
 	"net/netip"
@@ -33,8 +35,6 @@
 const ReservedPathPrefix = "/.cowslip"
 
 var (
-	namePattern     = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9._-]*[A-Za-z0-9])?$`)
-	digestPattern   = regexp.MustCompile(`^[0-9a-f]{64}$`)
 	detectorPattern = regexp.MustCompile(`^[a-z][A-Za-z0-9]*$`)
 	hostPattern     = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9.-]*[A-Za-z0-9])?$`)
 
@@ -58,11 +58,35 @@
 	switch {
 	case value == "":
 		c.report(path, "required field is missing or empty")
-	case len(value) > MaxNameLength || !namePattern.MatchString(value):
+	case len(value) > MaxNameLength || !isName(value):
 		c.report(path, "must be 1 to %d letters, digits, '.', '_' or '-', beginning and ending with a letter or digit, is %q", MaxNameLength, value)
 	}
 }
 
+// isName uses a loop instead of a regular expression because each decoded value checks up to thousands of names.
+func isName(text string) bool {
+	for i := range len(text) {
+		inner := i > 0 && i < len(text)-1 && strings.IndexByte("._-", text[i]) >= 0
+		if !inner && !isAlphanumeric(text[i]) {
+			return false
+		}
+	}
+	return text != ""
+}
+
+func isAlphanumeric(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9'
+}
+
+func isDigest(text string) bool {
+	for i := range len(text) {
+		if (text[i] < '0' || text[i] > '9') && (text[i] < 'a' || text[i] > 'f') {
+			return false
+		}
+	}
+	return len(text) == hex.EncodedLen(sha256.Size)
+}
+
 func (c *checker) header(apiVersion, kind, wantKind string, generation uint64) {
 	if apiVersion != APIVersion {
 		c.report("apiVersion", "must be %q, is %q", APIVersion, apiVersion)
--- a/internal/contract/check_documents.go
+++ b/internal/contract/check_documents.go
@@ -37,7 +37,7 @@
 	for i, digest := range d.APIKeySHA256 {
 		path := fmt.Sprintf("%s[%d]", field, i)
 		switch {
-		case !digestPattern.MatchString(digest):
+		case !isDigest(digest):
 			c.report(path, "must be a SHA-256 digest as 64 lower-case hex digits, has %d characters", len(digest))
 		case slices.Contains(d.APIKeySHA256[:i], digest):
 			c.report(path, "the same digest is listed twice")
