Read and check the settings file of the daemon

Cause: the daemon learns its addresses and data centre from its settings, and a fault in them must be found before it serves, with file, line and field.

Defaults are filled in before decoding, so an explicit zero meets the range check instead of turning into the default. Ruled out: port 0 and hosts left empty in listen addresses, because peers and operators must know the address from the file.

--- a/internal/contract/check.go
+++ b/internal/contract/check.go
@@ -55,12 +55,21 @@
 }
 
 func (c *checker) name(path, value string) {
+	if problem := NameProblem(value); problem != "" {
+		c.report(path, "%s", problem)
+	}
+}
+
+// NameProblem says why text is no name of a customer, service, VM, data centre, region or backend server, or returns an
+// empty text.
+func NameProblem(text string) string {
 	switch {
-	case value == "":
-		c.report(path, "required field is missing or empty")
-	case len(value) > MaxNameLength || !isName(value):
-		c.report(path, "must be 1 to %d letters, digits, '.', '_' or '-', beginning and ending with a letter or digit, is %q", MaxNameLength, value)
+	case text == "":
+		return "required field is missing or empty"
+	case len(text) > MaxNameLength || !isName(text):
+		return fmt.Sprintf("must be 1 to %d letters, digits, '.', '_' or '-', beginning and ending with a letter or digit, is %q", MaxNameLength, text)
 	}
+	return ""
 }
 
 // isName uses a loop instead of a regular expression because each decoded value checks up to thousands of names.
--- /dev/null
+++ b/internal/settings/load.go
@@ -0,0 +1,188 @@
+package settings
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/strictyaml"
+)
+
+// Load reads the settings file and returns all its faults, ordered by line. With faults the settings must not be used; the
+// caller prints one line per fault and exits with status 2.
+func Load(file string) (Settings, strictyaml.Issues) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		var pathError *fs.PathError
+		if errors.As(err, &pathError) {
+			err = pathError.Err
+		}
+		return Settings{}, strictyaml.Issues{{File: file, Message: "cannot read the settings file: " + err.Error()}}
+	}
+	return Parse(file, data)
+}
+
+// Parse reads settings from data. The name of the file is used in the faults only.
+func Parse(file string, data []byte) (Settings, strictyaml.Issues) {
+	docs, issues := strictyaml.Split(file, data)
+	switch {
+	case len(issues) > 0:
+		return Settings{}, issues
+	case len(docs) == 0:
+		return Settings{}, strictyaml.Issues{{File: file, Message: "the settings file is empty"}}
+	case len(docs) > 1:
+		return Settings{}, strictyaml.Issues{{File: file, Line: docs[1].Line, Message: "the settings file must hold one YAML document"}}
+	}
+	out := Default()
+	c := checker{doc: docs[0], faulty: map[string]bool{}}
+	for _, issue := range docs[0].Decode(&out) {
+		c.faulty[issue.Path] = true
+		c.issues = append(c.issues, issue)
+	}
+	c.check(&out)
+	return out, c.issues.Sort()
+}
+
+type checker struct {
+	doc    *strictyaml.Document
+	faulty map[string]bool
+	issues strictyaml.Issues
+}
+
+func (c *checker) report(path, format string, args ...any) {
+	// A field of the wrong type is reported once, not again for the value it kept.
+	if !c.faulty[path] {
+		c.issues = append(c.issues, c.doc.Issue(path, format, args...))
+	}
+}
+
+func (c *checker) check(s *Settings) {
+	c.name("vm", s.VM)
+	c.name("dataCentre", s.DataCentre)
+	c.name("region", s.Region)
+	c.checkListen(&s.Listen)
+	c.checkPlatform(&s.Platform)
+	c.checkSeedPeers(s)
+	c.checkLimits(&s.Limits)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, "logfmt", "json")
+}
+
+func (c *checker) name(path, value string) {
+	if problem := contract.NameProblem(value); problem != "" {
+		c.report(path, "%s", problem)
+	}
+}
+
+func (c *checker) oneOf(path, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		c.report(path, "must be one of %s, is %q", strings.Join(allowed, ", "), value)
+	}
+}
+
+func between[T cmp.Ordered](c *checker, path string, value, low, high T) {
+	if value < low || value > high {
+		c.report(path, "must be from %v to %v, is %v", low, high, value)
+	}
+}
+
+func (c *checker) duration(path string, value contract.Duration, low, high time.Duration) {
+	between(c, path, value, contract.Duration(low), contract.Duration(high))
+}
+
+func (c *checker) address(path, value string) bool {
+	if value == "" && !c.doc.Has(path) {
+		c.report(path, "required field is missing")
+		return false
+	}
+	if problem := contract.AddressProblem(value); problem != "" {
+		c.report(path, "%s", problem)
+		return false
+	}
+	return true
+}
+
+func (c *checker) checkListen(l *Listen) {
+	listeners := []struct{ path, address string }{{"listen.callers", l.Callers}, {"listen.peer", l.Peer}, {"listen.admin", l.Admin}}
+	for i, this := range listeners {
+		if !c.address(this.path, this.address) {
+			continue
+		}
+		for _, other := range listeners[:i] {
+			if clash(this.address, other.address) {
+				c.report(this.path, "the port clashes with %s: %s and %s", other.path, this.address, other.address)
+			}
+		}
+	}
+}
+
+// clash reports whether two listeners cannot both be opened: same port, and same host or one of them all hosts.
+func clash(a, b string) bool {
+	hostA, portA, errA := net.SplitHostPort(a)
+	hostB, portB, errB := net.SplitHostPort(b)
+	if errA != nil || errB != nil || portA != portB {
+		return false
+	}
+	return hostA == hostB || isUnspecified(hostA) || isUnspecified(hostB)
+}
+
+func isUnspecified(host string) bool {
+	addr, err := netip.ParseAddr(host)
+	return err == nil && addr.IsUnspecified()
+}
+
+func (c *checker) checkPlatform(p *Platform) {
+	if len(p.URLs) == 0 {
+		c.report("platform.urls", "required field; must list at least one URL")
+	}
+	for i, text := range p.URLs {
+		path := fmt.Sprintf("platform.urls[%d]", i)
+		u, err := url.Parse(text)
+		switch {
+		case err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Hostname() == "" || u.RawQuery != "" || u.Fragment != "":
+			c.report(path, "must be a URL such as http://10.0.0.5:8500, is %q", text)
+		case u.User != nil:
+			c.report(path, "must not hold a user or a password")
+		case slices.Contains(p.URLs[:i], text):
+			c.report(path, "%s is listed twice", text)
+		}
+	}
+	c.duration("platform.requestTimeout", p.RequestTimeout, 100*time.Millisecond, time.Minute)
+}
+
+func (c *checker) checkSeedPeers(s *Settings) {
+	seen := map[string]bool{}
+	for i, peer := range s.SeedPeers {
+		path := fmt.Sprintf("seedPeers[%d]", i)
+		if c.address(path+".address", peer.Address) {
+			switch {
+			case seen[peer.Address]:
+				c.report(path+".address", "the peer %s is listed twice", peer.Address)
+			case peer.Address == s.Listen.Peer:
+				c.report(path+".address", "%s is the daemon's own peer listener", peer.Address)
+			}
+			seen[peer.Address] = true
+		}
+		c.name(path+".dataCentre", peer.DataCentre)
+	}
+}
+
+func (c *checker) checkLimits(l *Limits) {
+	between(c, "limits.maxHeaderBytes", l.MaxHeaderBytes, 4<<10, 1<<20)
+	between(c, "limits.maxConnections", l.MaxConnections, 1, 1_000_000)
+	c.duration("limits.headerTimeout", l.HeaderTimeout, 100*time.Millisecond, 5*time.Minute)
+	c.duration("limits.bodyStallTimeout", l.BodyStallTimeout, 100*time.Millisecond, 5*time.Minute)
+	c.duration("limits.writeStallTimeout", l.WriteStallTimeout, 100*time.Millisecond, 5*time.Minute)
+	c.duration("limits.idleTimeout", l.IdleTimeout, time.Second, time.Hour)
+	c.duration("limits.drainStopLimit", l.DrainStopLimit, time.Second, time.Hour)
+	between(c, "limits.controlMemoryBytes", l.ControlMemoryBytes, 16<<20, 1<<30)
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+)
+
+// Settings is the content of the settings file of a daemon. docs/settings.md describes each field.
+type Settings struct {
+	// VM is the id of the VM that the daemon runs on, as in the VM document.
+	VM string `yaml:"vm"`
+	// DataCentre is the data centre of the VM.
+	DataCentre string `yaml:"dataCentre"`
+	// Region is the region of the data centre.
+	Region    string     `yaml:"region"`
+	Listen    Listen     `yaml:"listen"`
+	Platform  Platform   `yaml:"platform"`
+	SeedPeers []SeedPeer `yaml:"seedPeers"`
+	Limits    Limits     `yaml:"limits"`
+	Log       Log        `yaml:"log"`
+}
+
+// Listen holds the addresses that the daemon listens on, as host:port.
+type Listen struct {
+	// Callers is the listener for requests of customers.
+	Callers string `yaml:"callers"`
+	// Peer is the listener for other daemons.
+	Peer string `yaml:"peer"`
+	// Admin is the listener for operators. Default: 127.0.0.1:7002, since it has no authentication.
+	Admin string `yaml:"admin"`
+}
+
+// Platform says where the configuration service is.
+type Platform struct {
+	// URLs are tried in order. Each serves the same values.
+	URLs []string `yaml:"urls"`
+	// RequestTimeout bounds one call, without the time that a watch waits. Default: 5s. Range: 100ms to 1m.
+	RequestTimeout contract.Duration `yaml:"requestTimeout"`
+}
+
+// SeedPeer is a daemon that is asked for the configuration at start.
+type SeedPeer struct {
+	// Address is the host:port of its peer listener.
+	Address string `yaml:"address"`
+	// DataCentre is where it runs. A start asks peers in at least two data centres.
+	DataCentre string `yaml:"dataCentre"`
+}
+
+// Limits bound what the daemon uses.
+type Limits struct {
+	// MaxHeaderBytes bounds the header of one request. Default: 32768. Range: 4096 to 1048576.
+	MaxHeaderBytes int `yaml:"maxHeaderBytes"`
+	// MaxConnections bounds the open connections of callers. Default: 4096. Range: 1 to 1000000.
+	MaxConnections int `yaml:"maxConnections"`
+	// HeaderTimeout bounds the arrival of a request's header. Default: 5s. Range: 100ms to 5m.
+	HeaderTimeout contract.Duration `yaml:"headerTimeout"`
+	// BodyStallTimeout bounds the wait for the next bytes of a request's body. Default: 15s. Range: 100ms to 5m.
+	BodyStallTimeout contract.Duration `yaml:"bodyStallTimeout"`
+	// WriteStallTimeout bounds the wait until a caller takes the next bytes of a response. Default: 15s. Range: 100ms to 5m.
+	WriteStallTimeout contract.Duration `yaml:"writeStallTimeout"`
+	// IdleTimeout closes a connection without a request. Default: 2m. Range: 1s to 1h.
+	IdleTimeout contract.Duration `yaml:"idleTimeout"`
+	// DrainStopLimit bounds the wait for requests in flight at a planned stop. Default: 60s. Range: 1s to 1h.
+	DrainStopLimit contract.Duration `yaml:"drainStopLimit"`
+	// ControlMemoryBytes bounds the heap of control state: catalog, values kept for peers, limits. Default: 67108864
+	// (64 MiB). Range: 16777216 to 1073741824.
+	ControlMemoryBytes int64 `yaml:"controlMemoryBytes"`
+}
+
+// Log configures the log on standard error.
+type Log struct {
+	// Level is debug, info, warn or error: the lowest level that is written. Default: info.
+	Level string `yaml:"level"`
+	// Format is logfmt or json. Default: logfmt.
+	Format string `yaml:"format"`
+}
+
+// Default returns the settings that hold when a field is left out. Required fields are empty.
+func Default() Settings {
+	return Settings{
+		Listen:   Listen{Admin: "127.0.0.1:7002"},
+		Platform: Platform{RequestTimeout: contract.Duration(5 * time.Second)},
+		Limits: Limits{
+			MaxHeaderBytes:     32 << 10,
+			MaxConnections:     4096,
+			HeaderTimeout:      contract.Duration(5 * time.Second),
+			BodyStallTimeout:   contract.Duration(15 * time.Second),
+			WriteStallTimeout:  contract.Duration(15 * time.Second),
+			IdleTimeout:        contract.Duration(2 * time.Minute),
+			DrainStopLimit:     contract.Duration(time.Minute),
+			ControlMemoryBytes: 64 << 20,
+		},
+		Log: Log{Level: "info", Format: "logfmt"},
+	}
+}
