Keep the document in force when its successor is bad

Cause: Merge copied the documents to return before the ones kept in force were added, so a bad document deleted the good one. Found by internal/inforce TestNothingOlderOrBadReplacesAContract, which failed before this change and passes after it. Ruled out: the residue of an earlier conflict (the merge failed with an empty residue too). Also adds internal/inforce, the configuration in force of one daemon.

--- a/internal/contract/merge.go
+++ b/internal/contract/merge.go
@@ -98,9 +98,8 @@
 	for _, doc := range value.Documents.All() {
 		m.add(doc)
 	}
-	out := InForce{Revision: revision, Documents: m.out}
-	out.Deleted = m.dropMissing(inForce, anyName)
-	return out, m.findings
+	deleted := m.dropMissing(inForce, anyName)
+	return InForce{Revision: revision, Documents: m.out, Deleted: deleted}, m.findings
 }
 
 type merger struct {
--- /dev/null
+++ b/internal/inforce/book.go
@@ -0,0 +1,205 @@
+package inforce
+
+import (
+	"bytes"
+	"compress/gzip"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/ejection"
+)
+
+// Book is the configuration in force. Snapshot may be called from any goroutine; Apply is called from one at a time.
+type Book struct {
+	mu       sync.Mutex
+	values   map[string]held
+	findings map[string][]contract.Finding
+	edit     *catalog.Edit
+	snapshot atomic.Pointer[catalog.Snapshot]
+}
+
+// held is one value in force. The documents are kept compressed: 37,000 decoded contracts would not fit the memory that a
+// daemon may use for control.
+type held struct {
+	revision uint64
+	content  []byte
+	residue  contract.Residue
+}
+
+// Change is one document that came into force, changed or was deleted.
+type Change struct {
+	Ref contract.Ref
+	// From and To are generations; 0 stands for none.
+	From, To uint64
+}
+
+// Result tells what an applied value changed.
+type Result struct {
+	Changes  []Change
+	Findings []contract.Finding
+}
+
+// New returns a book with no configuration. Snapshot returns nil until the first call of Publish.
+func New() *Book {
+	return &Book{values: map[string]held{}, findings: map[string][]contract.Finding{}}
+}
+
+// Apply merges a value into what is in force. An error means that the value as a whole cannot be used and nothing changed.
+// The change shows in Snapshot after the next Publish, so that the many values of a start cost one snapshot.
+func (b *Book) Apply(name string, revision uint64, content []byte) (Result, error) {
+	if name == contract.ValueIndex {
+		return Result{}, nil // the index lists the values; it holds no documents
+	}
+	value, err := contract.DecodeValue(name, content, ejection.CheckOverrides)
+	if err != nil {
+		return Result{}, err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	before, err := b.restore(name)
+	if err != nil {
+		return Result{}, err
+	}
+	after, findings := contract.Merge(name, before, revision, value)
+	if after.Revision == before.Revision {
+		return Result{Findings: findings}, nil
+	}
+	packed, err := compress(content)
+	if err != nil {
+		return Result{}, err
+	}
+	b.values[name] = held{revision: revision, content: packed, residue: after.Residue(value)}
+	if len(findings) > 0 {
+		b.findings[name] = findings
+	} else {
+		delete(b.findings, name)
+	}
+	b.put(name, after)
+	return Result{Changes: changes(before.Documents, after.Documents), Findings: findings}, nil
+}
+
+func (b *Book) put(name string, after contract.InForce) {
+	if b.edit == nil {
+		base := b.snapshot.Load()
+		if base == nil {
+			base = new(catalog.Snapshot)
+		}
+		b.edit = base.Edit()
+	}
+	b.edit.Put(catalog.Source{Value: name, Revision: after.Revision, Documents: after.Documents})
+}
+
+// Publish puts all applied values in force and returns the snapshot.
+func (b *Book) Publish() *catalog.Snapshot {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.edit != nil {
+		b.snapshot.Store(b.edit.Snapshot())
+		b.edit = nil
+	}
+	return b.snapshot.Load()
+}
+
+// Snapshot returns the configuration in force, or nil when there is none.
+func (b *Book) Snapshot() *catalog.Snapshot { return b.snapshot.Load() }
+
+// Documents returns the documents in force of one value.
+func (b *Book) Documents(name string) (contract.Documents, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	inForce, err := b.restore(name)
+	return inForce.Documents, err
+}
+
+// Values returns the names of the values in force, in order.
+func (b *Book) Values() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	names := make([]string, 0, len(b.values))
+	for name := range b.values {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Findings returns the conflicts and refusals that hold now, by value.
+func (b *Book) Findings() []contract.Finding {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []contract.Finding
+	names := make([]string, 0, len(b.findings))
+	for name := range b.findings {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		all = append(all, b.findings[name]...)
+	}
+	return all
+}
+
+// restore returns what is in force of a value. The caller holds mu.
+func (b *Book) restore(name string) (contract.InForce, error) {
+	h, ok := b.values[name]
+	if !ok {
+		return contract.InForce{}, nil
+	}
+	content, err := decompress(h.content)
+	if err != nil {
+		return contract.InForce{}, err
+	}
+	value, err := contract.DecodeValue(name, content, ejection.CheckOverrides)
+	if err != nil {
+		return contract.InForce{}, fmt.Errorf("value in force cannot be read again: %w", err)
+	}
+	return contract.Restore(h.revision, value, h.residue), nil
+}
+
+func changes(before, after contract.Documents) []Change {
+	old := map[contract.Ref]uint64{}
+	for _, doc := range before.All() {
+		old[doc.Ref()] = doc.Version()
+	}
+	var list []Change
+	for _, doc := range after.All() {
+		ref := doc.Ref()
+		from, existed := old[ref]
+		delete(old, ref)
+		if !existed || from != doc.Version() {
+			list = append(list, Change{Ref: ref, From: from, To: doc.Version()})
+		}
+	}
+	for ref, from := range old {
+		list = append(list, Change{Ref: ref, From: from})
+	}
+	slices.SortFunc(list, func(a, b Change) int {
+		return slices.Compare([]string{a.Ref.Kind, a.Ref.Name}, []string{b.Ref.Kind, b.Ref.Name})
+	})
+	return list
+}
+
+func compress(content []byte) ([]byte, error) {
+	var out bytes.Buffer
+	w := gzip.NewWriter(&out)
+	if _, err := w.Write(content); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	return slices.Clip(out.Bytes()), nil
+}
+
+func decompress(packed []byte) ([]byte, error) {
+	r, err := gzip.NewReader(bytes.NewReader(packed))
+	if err != nil {
+		return nil, err
+	}
+	return io.ReadAll(r)
+}
--- /dev/null
+++ b/internal/inforce/book_test.go
@@ -0,0 +1,81 @@
+package inforce
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+)
+
+func contractJSON(customer string, generation uint64, rate float64) string {
+	doc, err := json.Marshal(map[string]any{
+		"apiVersion": contract.APIVersion, "kind": contract.KindContract, "customer": customer, "generation": generation,
+		"apiKeySHA256": []string{fmt.Sprintf("%064x", len(customer)*7+1)},
+		"routes":       []any{map[string]any{"pathPrefix": "/", "service": "stock"}},
+		"limits":       map[string]any{"ratePerSecond": rate, "concurrency": 5},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return string(doc)
+}
+
+func value(docs ...string) []byte {
+	return []byte(`{"documents":[` + strings.Join(docs, ",") + `]}`)
+}
+
+func mustApply(t *testing.T, b *Book, name string, revision uint64, content []byte) Result {
+	t.Helper()
+	result, err := b.Apply(name, revision, content)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// An older generation at a newer revision, a bad document and a stale revision must leave the contract in force as it is.
+func TestNothingOlderOrBadReplacesAContract(t *testing.T) {
+	b := New()
+	name := contract.ValueOf(contract.Ref{Kind: contract.KindContract, Name: "grocer"})
+	first := mustApply(t, b, name, 10, value(contractJSON("grocer", 3, 30)))
+	if len(first.Changes) != 1 || first.Changes[0].To != 3 {
+		t.Fatalf("changes %+v", first.Changes)
+	}
+	for what, step := range map[string]struct {
+		revision uint64
+		content  []byte
+	}{
+		"lower generation": {11, value(contractJSON("grocer", 2, 20))},
+		"bad document":     {12, value(contractJSON("grocer", 4, -1))},
+		"stale revision":   {9, value(contractJSON("grocer", 5, 50))},
+	} {
+		b := b
+		result, err := b.Apply(name, step.revision, step.content)
+		if err != nil || len(result.Findings) == 0 || len(result.Changes) != 0 {
+			t.Errorf("%s: %+v, %v", what, result, err)
+		}
+		if c := b.Publish().Customer("grocer"); c == nil || c.Generation != 3 || c.Limits.RatePerSecond != 30 {
+			t.Errorf("%s: in force is %+v", what, c)
+		}
+	}
+	if result := mustApply(t, b, name, 20, value(contractJSON("grocer", 4, 40))); len(result.Changes) != 1 || len(b.Findings()) != 0 {
+		t.Errorf("a good change after bad ones: %+v, findings %+v", result, b.Findings())
+	}
+	if c := b.Publish().Customer("grocer"); c.Limits.RatePerSecond != 40 {
+		t.Errorf("in force is %+v", c)
+	}
+}
+
+func TestDeletedContractLeavesTheSnapshot(t *testing.T) {
+	b := New()
+	name := contract.ValueOf(contract.Ref{Kind: contract.KindContract, Name: "grocer"})
+	mustApply(t, b, name, 1, value(contractJSON("grocer", 3, 30)))
+	if result := mustApply(t, b, name, 2, value()); len(result.Changes) != 1 || result.Changes[0].To != 0 {
+		t.Errorf("changes %+v", result.Changes)
+	}
+	if c := b.Publish().Customer("grocer"); c != nil {
+		t.Errorf("a deleted contract is in force: %+v", c)
+	}
+}
