Add the platform's protocol, its stand-in and the client

Cause: configuration and the VM list are read from an outside service that tests and the example fleet cannot use. Ruled out: gzip on the platform's side, which is not ours to choose.

--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,10 @@
+// Command standin-platform is a stand-in for the platform's configuration service.
+package main
+
+import (
+	"os"
+
+	"github.com/cowsliprun/cowsliprun/internal/standin/platform"
+)
+
+func main() { os.Exit(platform.Main()) }
--- a/internal/peerapi/peerapiconnect/peer.connect.go
+++ b/internal/peerapi/peerapiconnect/peer.connect.go
@@ -48,11 +48,11 @@
 
 // PeerServiceClient is a client for the cowslip.peer.v1.PeerService service.
 type PeerServiceClient interface {
-	// Exchange compares the revisions of two daemons and returns what the caller lacks, within a size bound.
+	// Exchange compares digests of the values held and lists the receiver's revisions when they differ.
 	Exchange(context.Context, *connect.Request[peerapi.ExchangeRequest]) (*connect.Response[peerapi.ExchangeResponse], error)
-	// Push hands values that changed to a peer.
+	// Push offers changed values to a peer, then sends those that the peer wants.
 	Push(context.Context, *connect.Request[peerapi.PushRequest]) (*connect.Response[peerapi.PushResponse], error)
-	// Pull returns values by name.
+	// Pull returns values by name, within a size bound.
 	Pull(context.Context, *connect.Request[peerapi.PullRequest]) (*connect.Response[peerapi.PullResponse], error)
 	// Reserve asks the homes of siblings to keep their backend servers in service until the lease ends.
 	Reserve(context.Context, *connect.Request[peerapi.ReserveRequest]) (*connect.Response[peerapi.ReserveResponse], error)
@@ -140,11 +140,11 @@
 
 // PeerServiceHandler is an implementation of the cowslip.peer.v1.PeerService service.
 type PeerServiceHandler interface {
-	// Exchange compares the revisions of two daemons and returns what the caller lacks, within a size bound.
+	// Exchange compares digests of the values held and lists the receiver's revisions when they differ.
 	Exchange(context.Context, *connect.Request[peerapi.ExchangeRequest]) (*connect.Response[peerapi.ExchangeResponse], error)
-	// Push hands values that changed to a peer.
+	// Push offers changed values to a peer, then sends those that the peer wants.
 	Push(context.Context, *connect.Request[peerapi.PushRequest]) (*connect.Response[peerapi.PushResponse], error)
-	// Pull returns values by name.
+	// Pull returns values by name, within a size bound.
 	Pull(context.Context, *connect.Request[peerapi.PullRequest]) (*connect.Response[peerapi.PullResponse], error)
 	// Reserve asks the homes of siblings to keep their backend servers in service until the lease ends.
 	Reserve(context.Context, *connect.Request[peerapi.ReserveRequest]) (*connect.Response[peerapi.ReserveResponse], error)
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,159 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// MaxValueBytes is the platform's bound of a value.
+	MaxValueBytes = 1 << 20
+	// maxListBytes bounds the lists of changes and VMs. 1,200 VMs or 600 values take about 60 KB.
+	maxListBytes = 1 << 20
+	// DefaultTimeout bounds a call beyond its wait. The platform answers in milliseconds.
+	DefaultTimeout = 3 * time.Second
+)
+
+// Options of New.
+type Options struct {
+	// BaseURL is the platform's address, such as http://127.0.0.1:7400.
+	BaseURL string
+	// Timeout bounds each call, in addition to the wait of a watch. Default: DefaultTimeout.
+	Timeout time.Duration
+	// DialContext replaces the dialer. Default: net.Dialer.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Value is one value of the configuration service.
+type Value struct {
+	Name     string
+	Revision uint64
+	Data     []byte
+}
+
+// Change names a value and the revision at which it last changed.
+type Change struct {
+	Name     string `json:"name"`
+	Revision uint64 `json:"revision"`
+}
+
+// Changes is the answer of a watch. Revision is lower than asked for when the platform is stale or was restored.
+type Changes struct {
+	Revision uint64   `json:"revision"`
+	Changed  []Change `json:"changed"`
+}
+
+// VM is one entry of the list of VMs. State is "live" or "leaving".
+type VM struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+}
+
+// VMList is the list of VMs, which lags behind the truth.
+type VMList struct {
+	Revision uint64 `json:"revision"`
+	VMs      []VM   `json:"vms"`
+}
+
+// Client is safe for concurrent use.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+	calls   atomic.Uint64
+}
+
+// New returns a client.
+func New(opts Options) *Client {
+	if opts.Timeout <= 0 {
+		opts.Timeout = DefaultTimeout
+	}
+	transport := &http.Transport{
+		DialContext:         opts.DialContext,
+		MaxIdleConnsPerHost: 2,
+		MaxConnsPerHost:     4,
+		IdleConnTimeout:     90 * time.Second,
+	}
+	return &Client{base: opts.BaseURL, timeout: opts.Timeout, http: &http.Client{Transport: transport}}
+}
+
+// Calls returns the number of calls made. A watch counts as one.
+func (c *Client) Calls() uint64 { return c.calls.Load() }
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Value reads one value.
+func (c *Client) Value(ctx context.Context, name string) (Value, error) {
+	call := "/v1/value?name=" + url.QueryEscape(name)
+	data, header, err := c.get(ctx, call, c.timeout, MaxValueBytes)
+	if err != nil {
+		return Value{}, err
+	}
+	revision, err := strconv.ParseUint(header.Get("Revision"), 10, 64)
+	if err != nil || revision == 0 {
+		return Value{}, &Error{Malformed, call, errors.New("header Revision is missing or not a positive number")}
+	}
+	return Value{name, revision, data}, nil
+}
+
+// Changes lists the values that changed after a revision. It waits up to wait for the first change.
+func (c *Client) Changes(ctx context.Context, after uint64, wait time.Duration) (Changes, error) {
+	var changes Changes
+	err := c.getJSON(ctx, fmt.Sprintf("/v1/changes?after=%d&wait=%s", after, wait), wait+c.timeout, &changes)
+	return changes, err
+}
+
+// VMs reads the list of VMs.
+func (c *Client) VMs(ctx context.Context) (VMList, error) {
+	var list VMList
+	err := c.getJSON(ctx, "/v1/vms", c.timeout, &list)
+	return list, err
+}
+
+func (c *Client) getJSON(ctx context.Context, call string, timeout time.Duration, into any) error {
+	data, _, err := c.get(ctx, call, timeout, maxListBytes)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, into); err != nil {
+		return &Error{Malformed, call, err}
+	}
+	return nil
+}
+
+func (c *Client) get(ctx context.Context, call string, timeout time.Duration, maxBytes int64) ([]byte, http.Header, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+call, nil)
+	if err != nil {
+		return nil, nil, &Error{Malformed, call, err}
+	}
+	c.calls.Add(1)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, nil, &Error{Unreachable, call, err}
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	switch {
+	case response.StatusCode == http.StatusNotFound:
+		return nil, nil, &Error{Kind: NotFound, Call: call}
+	case response.StatusCode != http.StatusOK:
+		return nil, nil, &Error{BadStatus, call, errors.New(response.Status)}
+	case err != nil:
+		return nil, nil, &Error{Unreachable, call, err}
+	case int64(len(data)) > maxBytes:
+		return nil, nil, &Error{Kind: TooLarge, Call: call}
+	}
+	return data, response.Header, nil
+}
