limits: add share holder, share user and shedding

Weighed: a holder that frees a reduced share only when the old lease ends is safe but keeps capacity idle for 5 s when traffic moves. Requests therefore carry a sequence number and what the entry holds, and an entry accepts only the response to its latest request, so a reduced or returned share is free as soon as the holder learns of it.

--- /dev/null
+++ b/internal/limits/doc.go
@@ -0,0 +1,27 @@
+// Package limits enforces one customer's rate and concurrency for the whole fleet.
+//
+// Each region has a fixed part of a customer's limits (Plan). A tenth of the limits is reserved for base allowances; the
+// rest of the region's part is granted as shares by one daemon of the region, the holder, found by rendezvous hash
+// (View). Holder decides about shares, User spends them at an entry.
+//
+// # Leases
+//
+// A share ends one lease after the entry sent its request; the holder counts it from when it received the request, with a margin
+// for clock rates, so the holder's end is never earlier. Requests of an entry carry a sequence number. An entry accepts only
+// the response to its latest request about a customer, and tells the holder in each request what it holds. The holder
+// ignores requests that arrive out of order, so a returned or reduced share is free as soon as the holder learns of it.
+//
+// # Base allowance
+//
+// An entry without a share admits requests from a bucket of one token, refilled at its part of the reserved tenth times
+// Plan.BaseFactor. The factor saves messages for customers whose traffic is spread thinly over many entries. A fleet
+// of N daemons admits at most N requests at once and BaseFactor/10 of the rate in the long run from base allowances, on top of nine
+// tenths of the rate from shares.
+//
+// # Concurrency
+//
+// Requests in flight may outlive their share. The entry admits no new request while it has as many in flight as share and
+// base allowance allow, keeps reporting them, and the holder counts the larger of grant and report until the lease ends. The
+// holder does not know of requests at an entry that can not reach it. They exceed the limit by at most the region's part for each
+// lease within the deadline: with a deadline of 10 s, two parts.
+package limits
--- /dev/null
+++ b/internal/limits/limits_test.go
@@ -0,0 +1,225 @@
+package limits
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+)
+
+var (
+	testTime = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	acme     = &catalog.Customer{Name: "acme", Generation: 3, Limits: contract.Limits{RatePerSecond: 100, Concurrency: 50}}
+	onePlan  = Plan{Daemons: 10, RegionWeight: 1, BaseFactor: 1}
+)
+
+func limitsOf(string) (contract.Limits, bool) { return acme.Limits, true }
+
+// readyHolder returns a holder that has waited its first lease, at testTime.
+func readyHolder(self string, vms ...string) *Holder {
+	h := NewHolder(testTime.Add(-time.Hour), self, onePlan)
+	h.SetView(testTime.Add(-time.Hour), NewView(vms))
+	return h
+}
+
+func ask(vm string, sequence uint64, d Demand) Request {
+	d.Customer = acme.Name
+	return Request{Sender: Sender{vm, 1}, Sequence: sequence, Demands: []Demand{d}}
+}
+
+func rateOf(t *testing.T, r Response) uint64 {
+	t.Helper()
+	if len(r.Grants) != 1 {
+		t.Fatalf("response %+v", r)
+	}
+	return r.Grants[0].RateMilli
+}
+
+// Two daemons with the same list must name the same holder, and the load must spread.
+func TestHolderOfView(t *testing.T) {
+	var vms []string
+	for i := range 20 {
+		vms = append(vms, fmt.Sprint("vm", i))
+	}
+	reversed := slices.Clone(vms)
+	slices.Reverse(reversed)
+	a, b, fewer := NewView(vms), NewView(reversed), NewView(vms[1:])
+	counts, moved := map[string]int{}, 0
+	for i := range 2000 {
+		name := fmt.Sprint("customer", i)
+		h := a.Holder(name)
+		counts[h]++
+		if b.Holder(name) != h {
+			t.Fatalf("order of the list changes the holder of %s", name)
+		}
+		if h != vms[0] && fewer.Holder(name) != h {
+			moved++
+		}
+	}
+	for vm, n := range counts {
+		if n < 50 || n > 150 {
+			t.Errorf("%s holds %d of 2000 customers, expected about 100", vm, n)
+		}
+	}
+	if moved != 0 || NewView(nil).Holder("x") != "" {
+		t.Errorf("%d customers moved although their holder stayed", moved)
+	}
+}
+
+// A division that is not max-min lets a large demand push out small ones or leaves capacity unused.
+func TestFairLevel(t *testing.T) {
+	for _, c := range []struct {
+		part  uint64
+		wants []uint64
+		want  uint64
+	}{
+		{100, []uint64{10, 20}, 100}, {100, []uint64{10, 200, 200}, 45}, {90, []uint64{1000, 1000, 1000}, 30},
+		{100, []uint64{5, 30, 40, 500}, 32}, {100, nil, 100}, {0, []uint64{1}, 0}, {100, []uint64{1 << 63, 1 << 63, 50}, 33},
+	} {
+		if got := fairLevel(c.part, len(c.wants), func(i int) uint64 { return c.wants[i] }); got != c.want {
+			t.Errorf("fairLevel(%d, %v) = %d, want %d", c.part, c.wants, got, c.want)
+		}
+	}
+}
+
+// A new process does not know the shares of the one before it.
+func TestHolderWaitsOneLease(t *testing.T) {
+	h := NewHolder(testTime, "h", onePlan)
+	h.SetView(testTime, NewView([]string{"h"}))
+	for i, c := range []struct {
+		after time.Duration
+		want  int
+	}{{0, 0}, {Lease, 0}, {holderLease, 1}} {
+		r := h.Handle(testTime.Add(c.after), ask("e", uint64(i+1), Demand{RateMilli: 1000}), limitsOf)
+		if len(r.Grants) != c.want || len(r.NotHolder) != 1-c.want {
+			t.Errorf("after %s: %+v", c.after, r)
+		}
+	}
+	h.SetView(testTime.Add(time.Minute), NewView(nil))
+	h.SetView(testTime.Add(time.Minute+time.Second), NewView([]string{"h"}))
+	if r := h.Handle(testTime.Add(time.Minute+2*time.Second), ask("e", 9, Demand{RateMilli: 1000}), limitsOf); len(r.Grants) != 0 {
+		t.Errorf("granted within a lease after the role came back: %+v", r)
+	}
+}
+
+// A late or repeated request must not change what the holder counts.
+func TestHolderIgnoresOvertakenRequests(t *testing.T) {
+	h := readyHolder("h", "h")
+	if r := rateOf(t, h.Handle(testTime, ask("e1", 5, Demand{RateMilli: 90000}), limitsOf)); r != 90000 {
+		t.Fatalf("granted %d", r)
+	}
+	if r := h.Handle(testTime, ask("e1", 4, Demand{}), limitsOf); len(r.Grants) != 0 {
+		t.Errorf("overtaken request got %+v", r)
+	}
+	if r := rateOf(t, h.Handle(testTime, ask("e2", 1, Demand{RateMilli: 50000}), limitsOf)); r != 0 {
+		t.Errorf("granted %d although the part is in use", r)
+	}
+}
+
+// A share that its entry returned must be free at once, and a reduced one only after the entry knows.
+func TestReturnAndReduction(t *testing.T) {
+	h := readyHolder("h", "h")
+	h.Handle(testTime, ask("e1", 1, Demand{RateMilli: 90000}), limitsOf)
+	h.Handle(testTime, ask("e2", 1, Demand{RateMilli: 90000}), limitsOf)
+	if r := rateOf(t, h.Handle(testTime, ask("e1", 2, Demand{RateMilli: 90000, HeldRateMilli: 90000}), limitsOf)); r != 45000 {
+		t.Errorf("e1 got %d, want the fair level", r)
+	}
+	if r := rateOf(t, h.Handle(testTime, ask("e2", 2, Demand{RateMilli: 90000}), limitsOf)); r != 0 {
+		t.Errorf("e2 got %d while e1 may use its old share", r)
+	}
+	h.Handle(testTime, ask("e1", 3, Demand{RateMilli: 90000, HeldRateMilli: 45000}), limitsOf)
+	if r := rateOf(t, h.Handle(testTime, ask("e2", 3, Demand{RateMilli: 90000}), limitsOf)); r != 45000 {
+		t.Errorf("e2 got %d after e1 uses its reduced share", r)
+	}
+	h.Handle(testTime, ask("e1", 4, Demand{}), limitsOf)
+	if r := rateOf(t, h.Handle(testTime, ask("e2", 4, Demand{RateMilli: 90000, HeldRateMilli: 45000}), limitsOf)); r != 90000 {
+		t.Errorf("e2 got %d after e1 returned its share", r)
+	}
+}
+
+// Requests in flight beyond the grant must not be granted to others as well.
+func TestHolderCountsInFlight(t *testing.T) {
+	h := readyHolder("h", "h")
+	h.Handle(testTime, ask("e1", 1, Demand{RateMilli: 1, Concurrency: 2, InFlight: 41}), limitsOf)
+	r := h.Handle(testTime, ask("e2", 1, Demand{RateMilli: 1, Concurrency: 45}), limitsOf)
+	if r.Grants[0].Concurrency != 5 {
+		t.Errorf("granted %d of 45 with 40 in flight elsewhere beyond the base allowance", r.Grants[0].Concurrency)
+	}
+}
+
+// Idle customers and senders must not stay in memory.
+func TestHolderForgets(t *testing.T) {
+	h := readyHolder("h", "h")
+	h.Handle(testTime, ask("e1", 1, Demand{RateMilli: 1}), limitsOf)
+	for i := range 4 {
+		h.Handle(testTime.Add(time.Duration(i+1)*holderLease), Request{Sender: Sender{"e2", 1}, Sequence: uint64(i + 1)}, limitsOf)
+	}
+	if s := h.Stats(); s != (HolderStats{Senders: 1}) {
+		t.Errorf("%+v", s)
+	}
+}
+
+// An entry without a share must hold to its base allowance, and the refusal must name limit and contract.
+func TestBaseAllowance(t *testing.T) {
+	u := NewUser(testTime, Sender{"e", 1}, onePlan)
+	if d := u.Admit(testTime, acme); !d.OK {
+		t.Fatalf("first request: %+v", d)
+	}
+	d := u.Admit(testTime, acme)
+	if d.OK || d.Err.Kind != errkind.ConcurrencyLimited || d.Wait == 0 || !strings.Contains(d.Err.Detail, "concurrency 50") {
+		t.Errorf("second in flight: %+v", d)
+	}
+	u.Release("acme")
+	d = u.Admit(testTime, acme)
+	if d.OK || d.Err.Kind != errkind.RateLimited || !strings.Contains(d.Err.Detail, "ratePerSecond 100") ||
+		!strings.Contains(d.Err.Detail, "customer acme, generation 3") {
+		t.Errorf("second at once: %+v", d)
+	}
+	// 100 requests a second, a tenth reserved, 10 daemons: one request a second
+	if d := u.Admit(testTime.Add(999*time.Millisecond), acme); d.OK {
+		t.Error("base allowance refilled too early")
+	}
+	if d := u.Admit(testTime.Add(time.Second), acme); !d.OK {
+		t.Errorf("base allowance did not refill: %+v", d)
+	}
+}
+
+// A share must end one lease after its request was sent, also when the wall clock shows a suspension.
+func TestShareEnds(t *testing.T) {
+	s := share{holder: "h", sent: testTime, wallSent: testTime}
+	for _, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, true}, {Lease - 1, true}, {Lease, false}, {-1, false}} {
+		if s.valid(testTime.Add(c.after)) != c.want {
+			t.Errorf("valid after %s is not %v", c.after, c.want)
+		}
+	}
+	if s.wallSent = testTime.Add(-Lease); s.valid(testTime) {
+		t.Error("valid although the wall clock passed the lease")
+	}
+}
+
+// Shares only pay off when the lower priority gives way, and equals must not displace each other.
+func TestShed(t *testing.T) {
+	for _, c := range []struct {
+		queued             []int
+		capacity, priority int
+		want               ShedDecision
+	}{
+		{nil, 0, 9, ShedDecision{Action: ShedNew}},
+		{[]int{1}, 2, 0, ShedDecision{}},
+		{[]int{5, 5}, 2, 5, ShedDecision{Action: ShedNew}},
+		{[]int{5, 5}, 2, 6, ShedDecision{Action: ShedQueued, Index: 1}},
+		{[]int{3, 1, 1, 4}, 4, 2, ShedDecision{Action: ShedQueued, Index: 2}},
+	} {
+		if got := Shed(c.queued, c.capacity, c.priority); got != c.want {
+			t.Errorf("Shed(%v, %d, %d) = %+v, want %+v", c.queued, c.capacity, c.priority, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/limits/plan.go
@@ -0,0 +1,61 @@
+package limits
+
+import (
+	"math"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+)
+
+const (
+	// Lease is how long a share is valid.
+	Lease = 5 * time.Second
+	// holderLease is how long a holder counts a grant. The margin covers clocks whose rates differ by up to 1%.
+	holderLease = Lease + Lease/50
+	// BaseReserve is the part of each limit that is reserved for base allowances.
+	BaseReserve = 0.1
+	// DefaultBaseFactor is chosen by the table in docs/limits.md.
+	DefaultBaseFactor = 4
+	// baseConcurrency is the number of requests in flight that an entry admits without a share.
+	baseConcurrency = 1
+)
+
+// Plan divides limits among regions and daemons. It comes from the configured list of VMs, not from the list of live ones, so that
+// regions that lose each other keep their parts.
+type Plan struct {
+	// Daemons is the number of daemons in the fleet.
+	Daemons int
+	// RegionWeight is this region's part of all limits. The weights of all regions add up to 1.
+	RegionWeight float64
+	// BaseFactor multiplies the base allowance. 0 selects DefaultBaseFactor.
+	BaseFactor float64
+}
+
+// RatePart returns what the region's holder may grant, in thousandths of a request a second.
+func (p Plan) RatePart(l contract.Limits) uint64 {
+	return uint64(math.Floor(l.RatePerSecond * (1 - BaseReserve) * p.RegionWeight * 1000))
+}
+
+// ConcurrencyPart returns what the region's holder may grant in requests in flight. It is at least 1, since a limit smaller
+// than the number of regions would leave a region without any.
+func (p Plan) ConcurrencyPart(l contract.Limits) uint32 {
+	return uint32(max(1, math.Floor(float64(l.Concurrency)*(1-BaseReserve)*p.RegionWeight)))
+}
+
+// BaseRate returns the refill of one entry's base allowance, in requests a second.
+func (p Plan) BaseRate(l contract.Limits) float64 {
+	factor := p.BaseFactor
+	if factor == 0 {
+		factor = DefaultBaseFactor
+	}
+	return l.RatePerSecond * BaseReserve * factor / float64(max(p.Daemons, 1))
+}
+
+// burst returns the size of an entry's token bucket for a share.
+func burst(l contract.Limits, rateMilli uint64) float64 {
+	size := float64(l.Burst)
+	if l.Burst <= 0 {
+		size = l.RatePerSecond
+	}
+	return max(1, size*float64(rateMilli)/1000/l.RatePerSecond)
+}
