--- /dev/null
+++ b/cmd/cowsliprund/main.go
@@ -0,0 +1,10 @@
+// Command cowsliprund is the daemon that runs beside the backend servers of a VM.
+package main
+
+import (
+	"os"
+
+	"github.com/cowsliprun/cowsliprun/internal/daemon"
+)
+
+func main() { os.Exit(daemon.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/daemon/configuration.go
@@ -0,0 +1,189 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/audit"
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/configsync"
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/inforce"
+	"github.com/cowsliprun/cowsliprun/internal/limits"
+	"github.com/cowsliprun/cowsliprun/internal/membership"
+)
+
+const (
+	// publishDelay gathers the values of a start, or of one large change, into one snapshot.
+	publishDelay = 20 * time.Millisecond
+	// viewInterval is the time between two looks at which VMs are live, for the holders of limits.
+	viewInterval = 2 * time.Second
+	// maxAuditedChanges bounds the entries of one value. The first value of a start holds up to hundreds of documents.
+	maxAuditedChanges = 16
+)
+
+// apply merges a value into the configuration in force. The runner calls it on one goroutine.
+func (d *Daemon) apply(name string, revision uint64, content []byte) error {
+	result, err := d.book.Apply(name, revision, content)
+	if err != nil {
+		return err
+	}
+	d.auditChanges(name, revision, result.Changes)
+	d.auditFindings(name, revision, result.Findings)
+	select {
+	case d.published <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// publish puts applied values in force, at most once per publishDelay.
+func (d *Daemon) publish(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-d.published:
+		}
+		snapshot := d.book.Publish()
+		for _, err := range d.home.Apply(snapshot) {
+			d.log.Part("home").Warn("Detector settings are not usable.", "err", err)
+		}
+		d.sync.SetDirectory(directoryOf(snapshot))
+		d.updatePlan(snapshot)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(publishDelay):
+		}
+	}
+}
+
+func directoryOf(snapshot *catalog.Snapshot) *membership.Directory {
+	vms := make([]membership.VM, 0, len(snapshot.VMs()))
+	for _, vm := range snapshot.VMs() {
+		vms = append(vms, membership.VM{ID: vm.ID, DataCentre: vm.Locality.DataCentre, Region: vm.Locality.Region, Address: vm.PeerAddress})
+	}
+	return membership.NewDirectory(vms)
+}
+
+// updatePlan divides the limits by the configured VMs, not by the live ones, so that regions that lose each other keep their
+// parts.
+func (d *Daemon) updatePlan(snapshot *catalog.Snapshot) {
+	total, own := 0, 0
+	for _, vm := range snapshot.VMs() {
+		total++
+		if vm.Locality.Region == d.settings.Region {
+			own++
+		}
+	}
+	if own == 0 {
+		return
+	}
+	plan := limits.Plan{Daemons: total, RegionWeight: float64(own) / float64(total)}
+	d.holder.SetPlan(plan)
+	d.shares.SetPlan(plan)
+}
+
+// watchViews keeps the holders of limits in step with the live VMs of the region, and notes the end of the start procedure.
+func (d *Daemon) watchViews(ctx context.Context) {
+	ticker := time.NewTicker(viewInterval)
+	defer ticker.Stop()
+	for {
+		d.updateView()
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (d *Daemon) updateView() {
+	var live []string
+	d.sync.View(func(now time.Time, m *membership.Members) { live = m.LiveInRegion(now, d.settings.Region) })
+	view := limits.NewView(live)
+	d.holder.SetView(time.Now(), view)
+	d.shares.SetView(view)
+}
+
+// writeSyncEvents copies the events of the propagation into the audit trail and the log.
+func (d *Daemon) writeSyncEvents(ctx context.Context) {
+	events := d.sync.Events()
+	log := d.log.Part("config")
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-events.Ready():
+		}
+		for _, e := range events.Drain() {
+			d.writeSyncEvent(log.Info, log.Warn, e)
+		}
+	}
+}
+
+func (d *Daemon) writeSyncEvent(info, warn func(string, ...any), e configsync.Event) {
+	switch e.Kind {
+	case configsync.EventAccepted, configsync.EventInForce:
+		return // the documents are audited when they are merged
+	case configsync.EventReady:
+		d.ready.Store(true)
+		d.updateView()
+		info("The start procedure is over.", "reason", e.Reason)
+	case configsync.EventPlatformDown, configsync.EventPlatformBehind, configsync.EventRefused, configsync.EventConflict:
+		warn("The platform or a value has a problem.", "kind", e.Kind, "value", e.Name, "from", e.From, "to", e.To, "source", e.Source, "reason", e.Reason)
+	default:
+		info("The platform recovered.", "kind", e.Kind)
+	}
+	refused := e.Kind == configsync.EventRefused || e.Kind == configsync.EventConflict
+	d.audit.Add(audit.Entry{
+		Time: e.At.UTC(), Actor: actorOf(e.Source), Action: "configuration: " + string(e.Kind), Subject: e.Name,
+		From: revision(e.From), To: revision(e.To), Accepted: !refused, Reason: e.Reason,
+	})
+}
+
+func actorOf(source string) string {
+	if source == "" || source == configsync.SourcePlatform {
+		return "platform"
+	}
+	return "peer " + source
+}
+
+func revision(r uint64) string {
+	if r == 0 {
+		return ""
+	}
+	return "revision " + strconv.FormatUint(r, 10)
+}
+
+func (d *Daemon) auditChanges(name string, rev uint64, changes []inforce.Change) {
+	for i, c := range changes {
+		if i == maxAuditedChanges {
+			d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration", Subject: name, To: revision(rev), Accepted: true,
+				Reason: fmt.Sprintf("%d more documents of this value changed", len(changes)-i)})
+			return
+		}
+		d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration", Subject: c.Ref.String(), From: generation(c.From), To: generation(c.To),
+			Accepted: true, Reason: name + " at " + revision(rev)})
+	}
+}
+
+func generation(g uint64) string {
+	if g == 0 {
+		return ""
+	}
+	return "generation " + strconv.FormatUint(g, 10)
+}
+
+func (d *Daemon) auditFindings(name string, rev uint64, findings []contract.Finding) {
+	for _, f := range findings {
+		reason := strings.TrimSuffix(string(f.Reason)+": "+f.Detail, ": ")
+		d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration", Subject: f.Ref.String(), From: generation(f.InForce), To: generation(f.Generation),
+			Accepted: false, Reason: name + " at " + revision(rev) + ": " + reason})
+		d.log.Part("config").Warn("A document was not taken.", "document", f.Ref, "value", name, "reason", reason)
+	}
+}
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cowsliprun/cowsliprun/internal/settings"
+)
+
+// Exit statuses of cowsliprund.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// Version is the release, set by the linker at a release build.
+var Version = "development"
+
+// Main runs the daemon with command-line arguments and returns the exit status: 0 after a graceful stop, 1 after a failure,
+// 2 when the settings are not usable.
+func Main(args []string, stdout, stderr io.Writer) int {
+	file, check := "", false
+	parser := flaggy.NewParser("cowsliprund")
+	parser.Description = "Daemon of the cowsliprun proxy fleet. One runs beside the backend servers of each VM."
+	parser.AdditionalHelpAppend = "\nExit statuses: 0 stopped gracefully, 1 failed, 2 settings are not usable.\nExample: cowsliprund --config /etc/cowsliprun/settings.yaml"
+	parser.Version = Version
+	parser.String(&file, "c", "config", "Settings file in YAML. examples/settings.yaml shows every field.")
+	parser.Bool(&check, "", "check", "Check the settings file and exit.")
+	if err := parser.ParseArgs(args); err != nil {
+		fmt.Fprintln(stderr, "cowsliprund:", err)
+		return exitSettings
+	}
+	if file == "" {
+		fmt.Fprintln(stderr, "cowsliprund: --config FILE is required")
+		return exitSettings
+	}
+	s, issues := settings.Load(file)
+	if len(issues) > 0 {
+		for _, issue := range issues {
+			fmt.Fprintln(stderr, issue)
+		}
+		return exitSettings
+	}
+	if check {
+		fmt.Fprintln(stdout, file+": ok")
+		return exitOK
+	}
+	return run(s, stdout, stderr)
+}
+
+func run(s settings.Settings, stdout, stderr io.Writer) int {
+	// The limit makes the garbage collector work harder near the bound; request bodies in flight come on top.
+	debug.SetMemoryLimit(2 * s.Limits.ControlMemoryBytes)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	d, err := New(s, Options{Log: stderr, Audit: stdout})
+	if err != nil {
+		fmt.Fprintln(stderr, "cowsliprund:", err)
+		return exitFailed
+	}
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(stderr, "cowsliprund:", err)
+		return exitFailed
+	}
+	return exitOK
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -19,6 +19,8 @@
 type Options struct {
 	// VM is the id of the VM that the daemon runs on.
 	VM string
+	// Locality is where the VM is.
+	Locality catalog.Locality
 	// Snapshot returns the configuration in force, or nil when there is none.
 	Snapshot func() *catalog.Snapshot
 	// Transport connects to home daemons. Default: forward.NewPeerTransport(nil).
@@ -29,8 +31,23 @@
 	Memory *operation.Memory
 	// Leaving reports whether the daemon drains. Default: never.
 	Leaving func() bool
+	// Limiter applies the rate and concurrency limits of contracts. Default: no limits.
+	Limiter Limiter
 }
 
+// Limiter applies the rate and concurrency limits of contracts.
+type Limiter interface {
+	// Admit takes one request, waiting shortly when a share is on its way. After nil, Release must be called.
+	Admit(ctx context.Context, c *catalog.Customer) *errkind.Error
+	// Release ends a request that was admitted.
+	Release(customer string)
+}
+
+type unlimited struct{}
+
+func (unlimited) Admit(context.Context, *catalog.Customer) *errkind.Error { return nil }
+func (unlimited) Release(string)                                          {}
+
 // uploadBudgetBytes bounds the bodies of at-most-once operations that are held at the same time.
 const uploadBudgetBytes = 64 << 20
 
@@ -44,6 +61,8 @@
 	memory      *operation.Memory
 	uploads     *operation.Uploads
 	leaving     func() bool
+	limiter     Limiter
+	locality    catalog.Locality
 }
 
 // New returns an Entry.
@@ -57,7 +76,11 @@
 	if o.Leaving == nil {
 		o.Leaving = func() bool { return false }
 	}
+	if o.Limiter == nil {
+		o.Limiter = unlimited{}
+	}
 	return &Entry{
+		limiter: o.Limiter, locality: o.Locality,
 		vm: o.VM, snapshot: o.Snapshot, transport: o.Transport, incarnation: o.Incarnation, memory: o.Memory,
 		uploads: operation.NewUploads(uploadBudgetBytes), leaving: o.Leaving,
 	}
@@ -92,6 +115,11 @@
 	c.id = id
 	ctx, cancel := context.WithTimeout(r.Context(), e.deadline(r, c.route))
 	defer cancel()
+	if err := e.limiter.Admit(ctx, c.customer); err != nil {
+		writeError(w, err)
+		return
+	}
+	defer e.limiter.Release(c.customer.Name)
 	serve := e.forward
 	if c.route.AtMostOnce {
 		serve = e.operate
