--- a/internal/ejection/backend.go
+++ b/internal/ejection/backend.go
@@ -188,6 +188,9 @@
 // advance moves the state to now and returns the time to use. Calls from several goroutines may bring times in slightly
 // wrong order; the latest time seen is used for those.
 func (b *Backend) advance(now time.Time) time.Time {
+	if now == b.last { // every event brings the state up to date, so nothing is due
+		return now
+	}
 	gap := now.Sub(b.last)
 	wall := now.Round(0).Sub(b.last.Round(0))
 	limit := seconds(b.cfg.TickGap)
