Add the admin listener and the local example as separate processes

Cause: the whole path had run in one process only. Change: names of detector numbers follow the documents' camel case; the check of documents refused the others.

--- /dev/null
+++ b/examples/local/main.go
@@ -0,0 +1,216 @@
+// Command local builds and starts a small fleet on loopback: a stand-in of the platform, six backend servers of which one is
+// gray, and three daemons in two data centres. It sends a light load, shows the gray backend server being ejected while every
+// request is answered, and stops everything gracefully on Ctrl-C.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/admin"
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/ejection"
+	"github.com/cowsliprun/cowsliprun/internal/standin/backend"
+	"github.com/cowsliprun/cowsliprun/internal/standin/fleet"
+)
+
+const (
+	platformAddress = "127.0.0.1:18500"
+	grayBackend     = "stock-2"
+	apiKey          = "grocer-key"
+	startLimit      = 30 * time.Second
+	loadInterval    = 10 * time.Millisecond
+	reportInterval  = 2 * time.Second
+)
+
+// callers maps each VM to its callers' address.
+var callers = map[string]string{"vm1": "127.0.0.1:18001", "vm2": "127.0.0.1:18002", "vm3": "127.0.0.1:18003"}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		fmt.Fprintln(os.Stderr, "local:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context) error {
+	work, err := os.MkdirTemp("", "cowsliprun-local-")
+	if err != nil {
+		return err
+	}
+	documentsDir := filepath.Join(work, "documents")
+	if err := os.CopyFS(documentsDir, os.DirFS(filepath.Join(sourceDir(), "fleet"))); err != nil {
+		return err
+	}
+	set := contract.Set{Detector: ejection.CheckOverrides}
+	set.AddPaths(documentsDir)
+	if issues := set.Check(); len(issues) > 0 {
+		return fmt.Errorf("documents of the example: %v", issues)
+	}
+	fmt.Println("Building the programs ...")
+	if err := fleet.Build(ctx, work); err != nil {
+		return err
+	}
+	f := fleet.New(fleet.Options{
+		Bin: work, Dir: work, Platform: platformAddress, Documents: set.Documents(),
+		Callers: func(vm string) string { return callers[vm] },
+	})
+	defer f.Kill()
+	startCtx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	if err := f.Start(startCtx); err != nil {
+		return err
+	}
+	if err := f.SetFaults(ctx, grayBackend, backend.Faults{LatencyMs: 200}); err != nil {
+		return err
+	}
+	printHelp(work)
+	watch(ctx, f)
+	fmt.Println("\nStopping: daemons drain first, so that no request is cut ...")
+	if err := f.Stop(); err != nil {
+		return err
+	}
+	fmt.Println("All processes have stopped. Logs are in", work)
+	return nil
+}
+
+// sourceDir is the directory of this file, so that the example finds its documents wherever it is started.
+func sourceDir() string {
+	_, file, _, _ := runtime.Caller(0)
+	return filepath.Dir(file)
+}
+
+func printHelp(work string) {
+	fmt.Printf(`
+The fleet is running: three daemons, six backend servers, %s answers 200 ms late while its health path stays green.
+
+  callers   http://127.0.0.1:18001  (vm1)  :18002 (vm2)  :18003 (vm3)
+  operators http://127.0.0.1:18201  (vm1)  :18202 (vm2)  :18203 (vm3)
+  documents %s
+  logs      %s/*.log
+
+Try, in another terminal:
+  curl -i -H 'Authorization: Bearer %s' http://127.0.0.1:18001/stock/7
+  curl -i -X POST -H 'Authorization: Bearer %s' -d 'ten egg timers' http://127.0.0.1:18001/orders
+      # 428 with a key; send it again with -H 'Idempotency-Key: KEY', also through :18002 and :18003
+  %s/cowslipctl status --admin 127.0.0.1:18201
+  %s/cowslipctl explain backend %s --admin 127.0.0.1:18201
+  # change documents/contracts.yaml (raise generation), then publish it as the platform would:
+  %s/cowslipctl render %s/documents --out %s/values && curl -X POST http://%s/v1/reload
+  %s/cowslipctl drain --admin 127.0.0.1:18203
+
+Ctrl-C stops everything.
+
+`, grayBackend, work+"/documents", work, apiKey, apiKey, work, work, grayBackend, work, work, work, platformAddress, work)
+}
+
+// load sends lookups through all daemons until ctx ends and counts the answers.
+type load struct {
+	client         *http.Client
+	answered, late atomic.Int64
+	failed         atomic.Int64
+}
+
+func (l *load) run(ctx context.Context, f *fleet.Fleet) {
+	ticker := time.NewTicker(loadInterval)
+	defer ticker.Stop()
+	vms := []string{"vm1", "vm2", "vm3"}
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			go l.lookup(ctx, f.CallersURL(vms[i%len(vms)])+"/stock/7")
+		}
+	}
+}
+
+func (l *load) lookup(ctx context.Context, url string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return
+	}
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	start := time.Now()
+	resp, err := l.client.Do(req)
+	if err == nil {
+		_, err = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	switch {
+	case ctx.Err() != nil:
+	case err != nil || resp.StatusCode != http.StatusOK:
+		l.failed.Add(1)
+	case time.Since(start) > 100*time.Millisecond:
+		l.late.Add(1)
+	default:
+		l.answered.Add(1)
+	}
+}
+
+// watch sends a light load and reports the mode of the gray backend server until ctx ends.
+func watch(ctx context.Context, f *fleet.Fleet) {
+	l := &load{client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	loadCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go l.run(loadCtx, f)
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		fmt.Printf("%s  %s\n", time.Now().Format("15:04:05"), report(l, modes(ctx, f)))
+	}
+}
+
+func report(l *load, modes map[string]string) string {
+	out := 0
+	for _, mode := range modes {
+		if mode == "ejected" || mode == "probing" {
+			out++
+		}
+	}
+	return fmt.Sprintf("last 2 s: %3d in time, %2d late, %d failed | %s is %s, %d of %d backend servers in service",
+		l.answered.Swap(0), l.late.Swap(0), l.failed.Swap(0), grayBackend, modes[grayBackend], len(modes)-out, len(modes))
+}
+
+// modes asks each daemon for the modes of its backend servers.
+func modes(ctx context.Context, f *fleet.Fleet) map[string]string {
+	modes := map[string]string{}
+	for vm := range callers {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.AdminURL(vm)+"/v1/status", nil)
+		if err != nil {
+			continue
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			continue
+		}
+		var st admin.Status
+		err = json.NewDecoder(resp.Body).Decode(&st)
+		resp.Body.Close()
+		if err != nil {
+			continue
+		}
+		for _, b := range st.BackendServers {
+			modes[b.BackendServer] = b.Ejection.State.Mode.String()
+		}
+	}
+	return modes
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/cowsliprun/cowsliprun/internal/audit"
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/configsync"
@@ -41,6 +43,8 @@
 	shares   *limits.User
 	peers    *peerClients
 	platform *platformClient
+	metrics  *metrics.Set
+	started  time.Time
 
 	// published wakes the goroutine that puts applied values in force.
 	published chan struct{}
@@ -67,7 +71,7 @@
 	}
 	d := &Daemon{
 		settings: s, incarnation: newIncarnation(), log: log, audit: audit.New(s.VM, audit.DefaultCapacity, o.Audit),
-		book: inforce.New(), published: make(chan struct{}, 1), askShares: make(chan struct{}, 1), drained: make(chan struct{}),
+		started: time.Now().UTC(), book: inforce.New(), published: make(chan struct{}, 1), askShares: make(chan struct{}, 1), drained: make(chan struct{}),
 	}
 	d.platform = newPlatformClient(s.Platform)
 	d.peers = newPeerClients()
@@ -82,6 +86,7 @@
 		Snapshot: d.snapshot, Incarnation: d.incarnation, Memory: d.memory, Leaving: d.home.Leaving,
 		Limiter: &limiter{user: d.shares, ask: d.askShares}, Transport: forward.NewPeerTransport(nil),
 	})
+	d.metrics = d.newMetrics()
 	return d, d.listen()
 }
 
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/net/netutil"
 
+	"github.com/cowsliprun/cowsliprun/internal/admin"
 	"github.com/cowsliprun/cowsliprun/internal/settings"
 	"github.com/rotisserie/eris"
 )
@@ -46,7 +47,7 @@
 	l.callersOn = netutil.LimitListener(l.callersOn, d.settings.Limits.MaxConnections)
 	l.callers = callersServer(d.settings.Limits, d.entry.Handler())
 	l.peer = peerServer(d.settings.Limits, peerHandler(d.home, http.HandlerFunc(d.entry.ServeOperation), d.controlHandler()))
-	l.admin = &http.Server{Handler: d.adminHandler(), ReadHeaderTimeout: time.Duration(d.settings.Limits.HeaderTimeout), MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes}
+	l.admin = &http.Server{Handler: admin.Handler(operator{d}), ReadHeaderTimeout: time.Duration(d.settings.Limits.HeaderTimeout), MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes}
 	return nil
 }
 
--- a/internal/ejection/config.go
+++ b/internal/ejection/config.go
@@ -66,33 +66,33 @@
 var numbers = []Number{
 	{"window", "s", "length of one evidence window", 0.05, 2, false, func(c *Config) *float64 { return &c.Window }},
 	{"settle", "s", "wait before a window is judged, so that baselines can follow a change of the whole service", 0, 5, false, func(c *Config) *float64 { return &c.Settle }},
-	{"slow-ratio", "ratio", "service time over baseline below which a sample is never evidence of slowness", 1.1, 10, false, func(c *Config) *float64 { return &c.SlowRatio }},
+	{"slowRatio", "ratio", "service time over baseline below which a sample is never evidence of slowness", 1.1, 10, false, func(c *Config) *float64 { return &c.SlowRatio }},
 	{"drift", "spreads", "subtracted from each sample's log ratio; larger means fewer false ejections and less sensitivity", 0.1, 2, false, func(c *Config) *float64 { return &c.Drift }},
 	{"clip", "spreads", "largest log ratio that one sample contributes, either way", 1, 5, false, func(c *Config) *float64 { return &c.Clip }},
-	{"evidence-cap", "evidence", "most evidence that one window adds", 0.5, 20, false, func(c *Config) *float64 { return &c.EvidenceCap }},
-	{"recovery-cap", "evidence", "most evidence that one window takes away", 0.5, 20, false, func(c *Config) *float64 { return &c.RecoveryCap }},
-	{"latency-threshold", "evidence", "latency evidence at which the backend server is suspect", 4, 200, false, func(c *Config) *float64 { return &c.LatencyThreshold }},
-	{"min-spread", "ln ratio", "lower bound of the learned standard deviation of the log ratio", 0.1, 2, false, func(c *Config) *float64 { return &c.MinSpread }},
-	{"max-spread", "ln ratio", "upper bound of the learned standard deviation, so that a failing backend server cannot widen it without limit", 0.2, 3, false, func(c *Config) *float64 { return &c.MaxSpread }},
-	{"min-samples", "samples", "samples since the evidence was last zero that are needed before the backend server is suspect", 3, 1000, true, func(c *Config) *float64 { return &c.MinSamples }},
-	{"min-members", "backend servers", "other backend servers that a baseline must cover to be used", 1, 100, true, func(c *Config) *float64 { return &c.MinMembers }},
-	{"baseline-age", "s", "age at which an entry's baseline expires", 1, 60, false, func(c *Config) *float64 { return &c.BaselineAge }},
-	{"error-floor", "share", "error share that is always taken as normal", 0.0001, 0.1, false, func(c *Config) *float64 { return &c.ErrorFloor }},
-	{"error-margin", "ratio", "factor on the baseline error share that is still normal", 1, 10, false, func(c *Config) *float64 { return &c.ErrorMargin }},
-	{"error-ratio", "ratio", "error share tested for, over the normal error share", 2, 50, false, func(c *Config) *float64 { return &c.ErrorRatio }},
-	{"error-threshold", "evidence", "error evidence (natural log of the likelihood ratio) at which the backend server is suspect", 4, 200, false, func(c *Config) *float64 { return &c.ErrorThreshold }},
-	{"invalid-weight", "errors", "number of errors that one wrong or truncated answer counts as", 1, 5, false, func(c *Config) *float64 { return &c.InvalidWeight }},
-	{"cold-start", "s", "time after the start of the home in which nothing is evidence and concurrency grows", 0, 600, false, func(c *Config) *float64 { return &c.ColdStart }},
-	{"suspect-share", "share", "share of the slots in use while suspect, at least one slot", 0.1, 1, false, func(c *Config) *float64 { return &c.SuspectShare }},
-	{"clear-share", "share", "share of the threshold below which a suspect backend server is active again", 0.05, 0.95, false, func(c *Config) *float64 { return &c.ClearShare }},
-	{"hold-off", "s", "first time out before probes start", 0.5, 600, false, func(c *Config) *float64 { return &c.HoldOff }},
-	{"hold-off-max", "s", "upper bound of the time out before probes start; it doubles with each ejection", 1, 3600, false, func(c *Config) *float64 { return &c.HoldOffMax }},
-	{"hold-off-decay", "s", "time in service after which one doubling is taken back", 1, 3600, false, func(c *Config) *float64 { return &c.HoldOffDecay }},
+	{"evidenceCap", "evidence", "most evidence that one window adds", 0.5, 20, false, func(c *Config) *float64 { return &c.EvidenceCap }},
+	{"recoveryCap", "evidence", "most evidence that one window takes away", 0.5, 20, false, func(c *Config) *float64 { return &c.RecoveryCap }},
+	{"latencyThreshold", "evidence", "latency evidence at which the backend server is suspect", 4, 200, false, func(c *Config) *float64 { return &c.LatencyThreshold }},
+	{"minSpread", "ln ratio", "lower bound of the learned standard deviation of the log ratio", 0.1, 2, false, func(c *Config) *float64 { return &c.MinSpread }},
+	{"maxSpread", "ln ratio", "upper bound of the learned standard deviation, so that a failing backend server cannot widen it without limit", 0.2, 3, false, func(c *Config) *float64 { return &c.MaxSpread }},
+	{"minSamples", "samples", "samples since the evidence was last zero that are needed before the backend server is suspect", 3, 1000, true, func(c *Config) *float64 { return &c.MinSamples }},
+	{"minMembers", "backend servers", "other backend servers that a baseline must cover to be used", 1, 100, true, func(c *Config) *float64 { return &c.MinMembers }},
+	{"baselineAge", "s", "age at which an entry's baseline expires", 1, 60, false, func(c *Config) *float64 { return &c.BaselineAge }},
+	{"errorFloor", "share", "error share that is always taken as normal", 0.0001, 0.1, false, func(c *Config) *float64 { return &c.ErrorFloor }},
+	{"errorMargin", "ratio", "factor on the baseline error share that is still normal", 1, 10, false, func(c *Config) *float64 { return &c.ErrorMargin }},
+	{"errorRatio", "ratio", "error share tested for, over the normal error share", 2, 50, false, func(c *Config) *float64 { return &c.ErrorRatio }},
+	{"errorThreshold", "evidence", "error evidence (natural log of the likelihood ratio) at which the backend server is suspect", 4, 200, false, func(c *Config) *float64 { return &c.ErrorThreshold }},
+	{"invalidWeight", "errors", "number of errors that one wrong or truncated answer counts as", 1, 5, false, func(c *Config) *float64 { return &c.InvalidWeight }},
+	{"coldStart", "s", "time after the start of the home in which nothing is evidence and concurrency grows", 0, 600, false, func(c *Config) *float64 { return &c.ColdStart }},
+	{"suspectShare", "share", "share of the slots in use while suspect, at least one slot", 0.1, 1, false, func(c *Config) *float64 { return &c.SuspectShare }},
+	{"clearShare", "share", "share of the threshold below which a suspect backend server is active again", 0.05, 0.95, false, func(c *Config) *float64 { return &c.ClearShare }},
+	{"holdOff", "s", "first time out before probes start", 0.5, 600, false, func(c *Config) *float64 { return &c.HoldOff }},
+	{"holdOffMax", "s", "upper bound of the time out before probes start; it doubles with each ejection", 1, 3600, false, func(c *Config) *float64 { return &c.HoldOffMax }},
+	{"holdOffDecay", "s", "time in service after which one doubling is taken back", 1, 3600, false, func(c *Config) *float64 { return &c.HoldOffDecay }},
 	{"probes", "probes", "probes in a row that must pass before the return", 1, 20, true, func(c *Config) *float64 { return &c.Probes }},
-	{"probe-interval", "s", "time between probes", 0.05, 30, false, func(c *Config) *float64 { return &c.ProbeInterval }},
-	{"ramp-steps", "steps", "steps from one slot to all slots", 1, 20, true, func(c *Config) *float64 { return &c.RampSteps }},
-	{"ramp-step", "s", "length of one step of the ramp", 0.1, 60, false, func(c *Config) *float64 { return &c.RampStep }},
-	{"tick-gap", "s", "time without a call after which the process is taken as paused and the permit is dropped", 0.2, 3, false, func(c *Config) *float64 { return &c.TickGap }},
+	{"probeInterval", "s", "time between probes", 0.05, 30, false, func(c *Config) *float64 { return &c.ProbeInterval }},
+	{"rampSteps", "steps", "steps from one slot to all slots", 1, 20, true, func(c *Config) *float64 { return &c.RampSteps }},
+	{"rampStep", "s", "length of one step of the ramp", 0.1, 60, false, func(c *Config) *float64 { return &c.RampStep }},
+	{"tickGap", "s", "time without a call after which the process is taken as paused and the permit is dropped", 0.2, 3, false, func(c *Config) *float64 { return &c.TickGap }},
 }
 
 // Numbers lists every number of a Config in the order of the documentation.
@@ -162,9 +162,9 @@
 func (c Config) check() error {
 	switch {
 	case c.HoldOffMax < c.HoldOff:
-		return fmt.Errorf("detector number \"hold-off-max\" (%v s) is below \"hold-off\" (%v s)", c.HoldOffMax, c.HoldOff)
+		return fmt.Errorf("detector number \"holdOffMax\" (%v s) is below \"holdOff\" (%v s)", c.HoldOffMax, c.HoldOff)
 	case c.MaxSpread < c.MinSpread:
-		return fmt.Errorf("detector number \"max-spread\" (%v) is below \"min-spread\" (%v)", c.MaxSpread, c.MinSpread)
+		return fmt.Errorf("detector number \"maxSpread\" (%v) is below \"minSpread\" (%v)", c.MaxSpread, c.MinSpread)
 	case c.Clip <= c.Drift:
 		return fmt.Errorf("detector number \"clip\" (%v) must be above \"drift\" (%v), or slowness is never evidence", c.Clip, c.Drift)
 	case c.Settle/c.Window > maxWindowsInSettle-2:
--- a/internal/ejection/detector_test.go
+++ b/internal/ejection/detector_test.go
@@ -144,17 +144,17 @@
 // Guards against a typing error in a service document that silently changes nothing or disables the detector.
 func TestOverrideIsChecked(t *testing.T) {
 	base := preset(t, FastDetection)
-	c, err := base.Override(map[string]float64{"hold-off": 7, "probes": 5})
+	c, err := base.Override(map[string]float64{"holdOff": 7, "probes": 5})
 	if err != nil || c.HoldOff != 7 || c.Probes != 5 || base.HoldOff == 7 {
 		t.Errorf("valid override: %+v, %v", c, err)
 	}
 	for want, values := range map[string]map[string]float64{
 		`unknown detector number "holdoff"`: {"holdoff": 7},
-		`from 0.5 to 600 s`:                 {"hold-off": 0},
+		`from 0.5 to 600 s`:                 {"holdOff": 0},
 		`must be a whole number`:            {"probes": 2.5},
-		`is below "hold-off"`:               {"hold-off": 500},
+		`is below "holdOff"`:               {"holdOff": 500},
 		`must be above "drift"`:             {"clip": 1, "drift": 1.5},
-		`at most half of each threshold`:    {"evidence-cap": 9},
+		`at most half of each threshold`:    {"evidenceCap": 9},
 	} {
 		if c, err := base.Override(values); err == nil || !strings.Contains(err.Error(), want) || c != base {
 			t.Errorf("%v: got error %v, want %q", values, err, want)
--- /dev/null
+++ b/internal/entry/explain.go
@@ -0,0 +1,40 @@
+package entry
+
+import (
+	"github.com/cowsliprun/cowsliprun/internal/admin"
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+)
+
+// Explain tells what would happen to a request of the customer now, without sending it.
+func (e *Entry) Explain(customer, method, path string) admin.Decision {
+	out := admin.Decision{VM: e.vm, Customer: customer}
+	refuse := func(kind errkind.Kind, detail string) admin.Decision {
+		out.Refusal, out.Detail = kind.String(), detail
+		return out
+	}
+	snapshot := e.snapshot()
+	if snapshot == nil {
+		return refuse(errkind.NoConfiguration, "this daemon has no configuration yet")
+	}
+	c := snapshot.Customer(customer)
+	if c == nil {
+		return refuse(errkind.Unauthenticated, "no contract of this customer is in force")
+	}
+	out.Limits = c.Limits
+	route := c.Route(path)
+	if route == nil {
+		return refuse(errkind.NoRoute, "no route of the contract matches the path")
+	}
+	out.Route, out.Service, out.AtMostOnce = route.PathPrefix, route.Service, route.AtMostOnce
+	out.Repeatable, out.Deadline = route.Repeatable(method), contract.Duration(route.Deadline)
+	if !route.Allows(method) {
+		return refuse(errkind.MethodNotAllowed, "the route does not allow the method")
+	}
+	service := snapshot.Service(route.Service)
+	if service == nil || len(service.BackendServers) == 0 {
+		return refuse(errkind.NoBackend, "the service has no backend servers")
+	}
+	out.Floor = service.Floor
+	return out
+}
--- /dev/null
+++ b/internal/standin/fleet/daemon.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"os"
+	"path/filepath"
+
+	"go.yaml.in/yaml/v3"
+
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/settings"
+)
+
+// StartDaemon writes the settings of a VM's daemon and starts it. Another start with the same VM replaces the entry of Daemons.
+func (f *Fleet) StartDaemon(vm string) error {
+	file := filepath.Join(f.opts.Dir, vm+".yaml")
+	data, err := yaml.Marshal(f.settings(f.vm(vm)))
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, data, 0o644); err != nil {
+		return err
+	}
+	p, err := start(vm, f.opts.Dir, f.program("cowsliprund"), "--config", file)
+	if err != nil {
+		return err
+	}
+	f.Daemons[vm] = p
+	return nil
+}
+
+// settingsFile is the part of the settings that differs from the defaults.
+type settingsFile struct {
+	VM         string              `yaml:"vm"`
+	DataCentre string              `yaml:"dataCentre"`
+	Region     string              `yaml:"region"`
+	Listen     settings.Listen     `yaml:"listen"`
+	Platform   platformSettings    `yaml:"platform"`
+	SeedPeers  []settings.SeedPeer `yaml:"seedPeers,omitempty"`
+	Log        settings.Log        `yaml:"log"`
+}
+
+type platformSettings struct {
+	URLs []string `yaml:"urls"`
+}
+
+func (f *Fleet) settings(vm contract.VM) settingsFile {
+	s := settingsFile{
+		VM: vm.VM, DataCentre: vm.DataCentre, Region: f.regionOf(vm.DataCentre),
+		Listen:   settings.Listen{Callers: f.callers[vm.VM], Peer: vm.PeerAddress, Admin: vm.AdminAddress},
+		Platform: platformSettings{URLs: []string{f.PlatformURL()}},
+		Log:      settings.Log{Level: "info", Format: "logfmt"},
+	}
+	for _, other := range f.documents.VMs {
+		if other.VM == vm.VM {
+			continue
+		}
+		address := other.PeerAddress
+		if f.opts.Reach != nil {
+			address = f.opts.Reach(vm, other)
+		}
+		s.SeedPeers = append(s.SeedPeers, settings.SeedPeer{Address: address, DataCentre: other.DataCentre})
+	}
+	return s
+}
+
+func (f *Fleet) regionOf(dataCentre string) string {
+	for _, dc := range f.documents.DataCentres {
+		if dc.DataCentre == dataCentre {
+			return dc.Region
+		}
+	}
+	return ""
+}
