Compare each backend server with siblings that its home asks directly

Cause: at the size to design for (83,000 requests a second, 890 services, 1,200 entries) an entry sends 0.08 requests a second to a service, and with locality it sees only the 2 or 3 members of its data centre. Its view is no normal level. Ruled out: summaries from all siblings every second (180 peers x 200 B = 36 KB/s against 4 KB/s); medians carried by entries (each hears of a member once in 200 s). Change: each home asks the homes of 5 siblings; the interval stretches so that it stays within 1.5 KB/s.

--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -20,7 +20,8 @@
 
 const (
 	// shareTimeout bounds a request for shares. A later response would find the next request already sent.
-	shareTimeout = time.Second
+	shareTimeout   = time.Second
+	compareTimeout = 500 * time.Millisecond
 	// maxPeerClients bounds the clients kept. Holders and siblings are spread over the fleet, so there are more of them than
 	// peers; an idle client costs about 1 KB.
 	maxPeerClients = 2048
@@ -49,6 +50,11 @@
 	return connect.NewResponse(h.daemon.home.Grant(time.Now(), req.Msg, h.daemon.sender())), nil
 }
 
+// Compare tells how backend servers of this VM did recently.
+func (h *controlHandler) Compare(_ context.Context, req *connect.Request[peerapi.CompareRequest]) (*connect.Response[peerapi.CompareResponse], error) {
+	return connect.NewResponse(h.daemon.home.Summaries(time.Now(), req.Msg.GetBackendServers())), nil
+}
+
 // Share grants shares of limits that this daemon holds.
 func (h *controlHandler) Share(_ context.Context, req *connect.Request[peerapi.ShareRequest]) (*connect.Response[peerapi.ShareResponse], error) {
 	response := h.daemon.grantShares(shareRequestOf(req.Msg))
@@ -140,7 +146,22 @@
 			go d.reserve(ctx, msg)
 		}
 		d.home.RunProbes(now)
+		for _, c := range d.home.Compare(now, d.snapshot()) {
+			go d.compare(ctx, c)
+		}
+	}
+}
+
+// compare asks one daemon for summaries. A reply that comes after the round counts for the next one.
+func (d *Daemon) compare(ctx context.Context, c home.Comparison) {
+	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
+	defer cancel()
+	resp, err := d.peers.client(d.addressOf(c.VM)).Compare(ctx, connect.NewRequest(&peerapi.CompareRequest{BackendServers: c.BackendServers}))
+	if err != nil {
+		d.log.Part("home").Debug("A peer did not answer a comparison.", "vm", c.VM, "err", err)
+		return
 	}
+	d.home.Compared(resp.Msg)
 }
 
 // reserve sends one message. Silence after reservation.ReplyTimeout makes the requester ask another sibling.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -76,7 +76,7 @@
 	d.platform = newPlatformClient(s.Platform)
 	d.peers = newPeerClients()
 	d.sync = d.newRunner()
-	d.home = home.New(home.Options{VM: s.VM, Observer: d.modeChanged})
+	d.home = home.New(home.Options{VM: s.VM, Observer: d.modeChanged, Seed: d.incarnation})
 	plan := limits.Plan{Daemons: 1, RegionWeight: 1}
 	d.holder = limits.NewHolder(time.Now(), s.VM, plan)
 	d.shares = limits.NewUser(time.Now(), limits.Sender{VM: s.VM, Incarnation: d.incarnation}, plan)
--- a/internal/ejection/detector_test.go
+++ b/internal/ejection/detector_test.go
@@ -152,7 +152,7 @@
 		`unknown detector number "holdoff"`: {"holdoff": 7},
 		`from 0.5 to 600 s`:                 {"holdOff": 0},
 		`must be a whole number`:            {"probes": 2.5},
-		`is below "holdOff"`:               {"holdOff": 500},
+		`is below "holdOff"`:                {"holdOff": 500},
 		`must be above "drift"`:             {"clip": 1, "drift": 1.5},
 		`at most half of each threshold`:    {"evidenceCap": 9},
 	} {
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -37,6 +37,8 @@
 	Transport http.RoundTripper
 	// Observer is told of changes of mode. It may be nil.
 	Observer Observer
+	// Seed draws the siblings that backend servers are compared with.
+	Seed uint64
 }
 
 // Home serves the requests of all entries to the backend servers of one VM.
@@ -56,6 +58,9 @@
 
 	reserveMu    sync.Mutex
 	reservations *reservation.Manager
+
+	compareMu sync.Mutex
+	comparer  comparer
 }
 
 // New returns a Home that knows no backend servers until Apply is called.
@@ -68,7 +73,7 @@
 	}
 	return &Home{
 		vm: o.VM, transport: o.Transport, observer: o.Observer, members: map[string]*member{},
-		reservations: reservation.New(o.VM, time.Now()),
+		reservations: reservation.New(o.VM, time.Now()), comparer: newComparer(o.Seed),
 	}
 }
 
--- a/internal/home/member.go
+++ b/internal/home/member.go
@@ -35,6 +35,7 @@
 	// probing is true while a probe is on its way.
 	probing bool
 	running map[*exchange]*overdue
+	recent  recent
 }
 
 // overdue tracks how often a running request has already counted as evidence.
@@ -107,6 +108,9 @@
 		return // the caller left early: the true time is only known to be longer
 	}
 	m.life.Observe(now, ejection.Sample{ServiceTime: x.serviceTime, Result: result})
+	if result != ejection.Shed {
+		m.recent.add(now, x.serviceTime, result != ejection.OK)
+	}
 }
 
 // result maps the end of an exchange to evidence, and false when it says nothing about the backend server.
--- a/internal/peerapi/peerapiconnect/peer.connect.go
+++ b/internal/peerapi/peerapiconnect/peer.connect.go
@@ -42,6 +42,8 @@
 	PeerServicePullProcedure = "/cowslip.peer.v1.PeerService/Pull"
 	// PeerServiceReserveProcedure is the fully-qualified name of the PeerService's Reserve RPC.
 	PeerServiceReserveProcedure = "/cowslip.peer.v1.PeerService/Reserve"
+	// PeerServiceCompareProcedure is the fully-qualified name of the PeerService's Compare RPC.
+	PeerServiceCompareProcedure = "/cowslip.peer.v1.PeerService/Compare"
 	// PeerServiceShareProcedure is the fully-qualified name of the PeerService's Share RPC.
 	PeerServiceShareProcedure = "/cowslip.peer.v1.PeerService/Share"
 )
@@ -56,6 +58,8 @@
 	Pull(context.Context, *connect.Request[peerapi.PullRequest]) (*connect.Response[peerapi.PullResponse], error)
 	// Reserve asks the homes of siblings to keep their backend servers in service until the lease ends.
 	Reserve(context.Context, *connect.Request[peerapi.ReserveRequest]) (*connect.Response[peerapi.ReserveResponse], error)
+	// Compare returns how backend servers of the receiver did recently, as the normal level for their siblings elsewhere.
+	Compare(context.Context, *connect.Request[peerapi.CompareRequest]) (*connect.Response[peerapi.CompareResponse], error)
 	// Share asks the holder of customers' limits for shares.
 	Share(context.Context, *connect.Request[peerapi.ShareRequest]) (*connect.Response[peerapi.ShareResponse], error)
 }
@@ -95,6 +99,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Reserve")),
 			connect.WithClientOptions(opts...),
 		),
+		compare: connect.NewClient[peerapi.CompareRequest, peerapi.CompareResponse](
+			httpClient,
+			baseURL+PeerServiceCompareProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Compare")),
+			connect.WithClientOptions(opts...),
+		),
 		share: connect.NewClient[peerapi.ShareRequest, peerapi.ShareResponse](
 			httpClient,
 			baseURL+PeerServiceShareProcedure,
@@ -110,6 +120,7 @@
 	push     *connect.Client[peerapi.PushRequest, peerapi.PushResponse]
 	pull     *connect.Client[peerapi.PullRequest, peerapi.PullResponse]
 	reserve  *connect.Client[peerapi.ReserveRequest, peerapi.ReserveResponse]
+	compare  *connect.Client[peerapi.CompareRequest, peerapi.CompareResponse]
 	share    *connect.Client[peerapi.ShareRequest, peerapi.ShareResponse]
 }
 
@@ -133,6 +144,11 @@
 	return c.reserve.CallUnary(ctx, req)
 }
 
+// Compare calls cowslip.peer.v1.PeerService.Compare.
+func (c *peerServiceClient) Compare(ctx context.Context, req *connect.Request[peerapi.CompareRequest]) (*connect.Response[peerapi.CompareResponse], error) {
+	return c.compare.CallUnary(ctx, req)
+}
+
 // Share calls cowslip.peer.v1.PeerService.Share.
 func (c *peerServiceClient) Share(ctx context.Context, req *connect.Request[peerapi.ShareRequest]) (*connect.Response[peerapi.ShareResponse], error) {
 	return c.share.CallUnary(ctx, req)
@@ -148,6 +164,8 @@
 	Pull(context.Context, *connect.Request[peerapi.PullRequest]) (*connect.Response[peerapi.PullResponse], error)
 	// Reserve asks the homes of siblings to keep their backend servers in service until the lease ends.
 	Reserve(context.Context, *connect.Request[peerapi.ReserveRequest]) (*connect.Response[peerapi.ReserveResponse], error)
+	// Compare returns how backend servers of the receiver did recently, as the normal level for their siblings elsewhere.
+	Compare(context.Context, *connect.Request[peerapi.CompareRequest]) (*connect.Response[peerapi.CompareResponse], error)
 	// Share asks the holder of customers' limits for shares.
 	Share(context.Context, *connect.Request[peerapi.ShareRequest]) (*connect.Response[peerapi.ShareResponse], error)
 }
@@ -183,6 +201,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Reserve")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceCompareHandler := connect.NewUnaryHandler(
+		PeerServiceCompareProcedure,
+		svc.Compare,
+		connect.WithSchema(peerServiceMethods.ByName("Compare")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceShareHandler := connect.NewUnaryHandler(
 		PeerServiceShareProcedure,
 		svc.Share,
@@ -199,6 +223,8 @@
 			peerServicePullHandler.ServeHTTP(w, r)
 		case PeerServiceReserveProcedure:
 			peerServiceReserveHandler.ServeHTTP(w, r)
+		case PeerServiceCompareProcedure:
+			peerServiceCompareHandler.ServeHTTP(w, r)
 		case PeerServiceShareProcedure:
 			peerServiceShareHandler.ServeHTTP(w, r)
 		default:
@@ -226,6 +252,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.PeerService.Reserve is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) Compare(context.Context, *connect.Request[peerapi.CompareRequest]) (*connect.Response[peerapi.CompareResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.PeerService.Compare is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Share(context.Context, *connect.Request[peerapi.ShareRequest]) (*connect.Response[peerapi.ShareResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("cowslip.peer.v1.PeerService.Share is not implemented"))
 }
