Add retry rules and budgets

Cause: retries without a bound multiply the work of a service that is slow already, and a second try of a request that may have run breaks at-most-once.

Two token buckets per customer and service: the customer's percentage for tries that may have run, 50 per cent for refusals unrun. One bucket for both was ruled out: with it, refusals by one full backend server use up the tries that a broken one needs. Minimum: one retry per 10 s without traffic. 8192 budgets at most; customers beyond share one per shard, so that a full table gives no free retry.

--- /dev/null
+++ b/internal/retry/budget.go
@@ -0,0 +1,184 @@
+package retry
+
+import (
+	"hash/maphash"
+	"sync"
+	"time"
+)
+
+// Sizes of the budgets.
+const (
+	// RefusedPercent is the share of requests that may be tried again after a refusal unrun. The backend servers see
+	// nothing of such tries; the share bounds the work of the homes.
+	RefusedPercent = 50
+	// MinimumEvery is the time in which a budget gains one retry without traffic, so that a customer with few requests can
+	// retry once.
+	MinimumEvery = 10 * time.Second
+	// maxTokens and maxRefusedTokens bound the retries in a burst after a time without failures.
+	maxTokens        = 25
+	maxRefusedTokens = 100
+	// ExpireAfter is the idle time after which a budget is forgotten. A new one starts with one token, which the old one
+	// would have gained too.
+	ExpireAfter = time.Minute
+	shardCount  = 16
+	// MaxEntries bounds the budgets held. Customers beyond it share one budget per shard.
+	MaxEntries = shardCount * 512
+)
+
+type key struct{ customer, service string }
+
+// bucket holds the tokens of one budget.
+type bucket struct {
+	tokens float64
+}
+
+func (b *bucket) add(n, limit float64) { b.tokens = min(limit, b.tokens+n) }
+
+func (b *bucket) take() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+type entry struct {
+	mayHaveRun bucket
+	refused    bucket
+	used       time.Time
+}
+
+func newEntry(now time.Time) *entry {
+	return &entry{mayHaveRun: bucket{1}, refused: bucket{1}, used: now}
+}
+
+func (e *entry) elapse(now time.Time) {
+	if passed := now.Sub(e.used); passed > 0 {
+		gain := passed.Seconds() / MinimumEvery.Seconds()
+		// The minimum is for low traffic, so it does not add up beyond one retry.
+		if e.mayHaveRun.tokens < 1 {
+			e.mayHaveRun.add(gain, 1)
+		}
+		if e.refused.tokens < 1 {
+			e.refused.add(gain, 1)
+		}
+		e.used = now
+	}
+}
+
+type shard struct {
+	mu      sync.Mutex
+	entries map[key]*entry
+	// shared is used when entries is full.
+	shared *entry
+}
+
+// Budgets holds the budgets of one entry. It is safe for concurrent use.
+type Budgets struct {
+	seed   maphash.Seed
+	shards [shardCount]shard
+}
+
+// New returns empty budgets.
+func New() *Budgets {
+	b := &Budgets{seed: maphash.MakeSeed()}
+	for i := range b.shards {
+		b.shards[i].entries = map[key]*entry{}
+	}
+	return b
+}
+
+func (b *Budgets) shard(k key) *shard {
+	return &b.shards[maphash.Comparable(b.seed, k)%shardCount]
+}
+
+// entry returns the budgets of a customer and service. The shard is locked.
+func (s *shard) entry(now time.Time, k key) *entry {
+	if e := s.entries[k]; e != nil {
+		return e
+	}
+	if len(s.entries) >= MaxEntries/shardCount {
+		s.expire(now)
+	}
+	if len(s.entries) >= MaxEntries/shardCount {
+		if s.shared == nil {
+			s.shared = newEntry(now)
+		}
+		return s.shared
+	}
+	e := newEntry(now)
+	s.entries[k] = e
+	return e
+}
+
+func (s *shard) expire(now time.Time) {
+	for k, e := range s.entries {
+		if now.Sub(e.used) >= ExpireAfter {
+			delete(s.entries, k)
+		}
+	}
+}
+
+// Begin counts a request and returns its first attempt.
+func (b *Budgets) Begin(now time.Time, r Request) Attempt {
+	if r.BudgetPercent > 0 {
+		k := key{r.Customer, r.Service}
+		s := b.shard(k)
+		s.mu.Lock()
+		e := s.entry(now, k)
+		e.elapse(now)
+		e.mayHaveRun.add(float64(r.BudgetPercent)/100, maxTokens)
+		e.refused.add(float64(max(r.BudgetPercent, RefusedPercent))/100, maxRefusedTokens)
+		s.mu.Unlock()
+	}
+	return Attempt{request: r, tries: 1}
+}
+
+// Next decides whether a request is tried again after a try failed. With Retry the try is counted and charged, and the
+// backend server of the failed try is excluded.
+func (b *Budgets) Next(now time.Time, a *Attempt, f Failure) Verdict {
+	verdict, notRun := a.check(now, f)
+	if verdict != Retry {
+		return verdict
+	}
+	if a.request.BudgetPercent <= 0 || !b.charge(now, a.request, notRun) {
+		return BudgetUsed
+	}
+	a.tried[a.tries-1] = f.Backend
+	a.tries++
+	return Retry
+}
+
+func (b *Budgets) charge(now time.Time, r Request, notRun bool) bool {
+	k := key{r.Customer, r.Service}
+	s := b.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entry(now, k)
+	e.elapse(now)
+	if notRun {
+		return e.refused.take()
+	}
+	return e.mayHaveRun.take()
+}
+
+// Expire forgets the budgets of customers without traffic.
+func (b *Budgets) Expire(now time.Time) {
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		s.expire(now)
+		s.mu.Unlock()
+	}
+}
+
+// Len returns the number of budgets held.
+func (b *Budgets) Len() int {
+	n := 0
+	for i := range b.shards {
+		b.shards[i].mu.Lock()
+		n += len(b.shards[i].entries)
+		b.shards[i].mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/internal/retry/retry_test.go
@@ -0,0 +1,148 @@
+package retry
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	_ "github.com/cowsliprun/cowsliprun/internal/rapidseed"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against more tries than the budgets allow, against a second try of a request that may have run on a route that
+// is not repeatable, and against a try on the same backend server, in any order of requests and failures.
+func TestTriesStayWithinBudget(t *testing.T) {
+	kinds := []errkind.Kind{
+		errkind.BackendBroken, errkind.PathBroken, errkind.AnswerInvalid, errkind.DeadlineExceeded, errkind.SlotsFull,
+		errkind.Ejected, errkind.HomeUnreachable, errkind.RateLimited, errkind.OwnerGone, errkind.RequestBroken,
+	}
+	retried := 0
+	rapid.Check(t, func(t *rapid.T) {
+		b := New()
+		percent := rapid.SampledFrom([]int{0, 1, 10, 30}).Draw(t, "percent")
+		failShare := rapid.SampledFrom([]int{1, 5, 10}).Draw(t, "failures of 10")
+		now, requests := epoch, 0
+		var mayHaveRun, refused int
+		for range rapid.IntRange(1, 400).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 20, 3000, 90000}).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 50).Draw(t, "expire") == 0 {
+				b.Expire(now)
+			}
+			requests++
+			r := Request{
+				Customer: "c", Service: "s", Repeatable: rapid.Bool().Draw(t, "repeatable"), BudgetPercent: percent,
+				Deadline: now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "deadline")) * time.Millisecond),
+			}
+			a := b.Begin(now, r)
+			for a.Tries() <= MaxTries && rapid.IntRange(1, 10).Draw(t, "fails") <= failShare {
+				f := Failure{Backend: fmt.Sprint("b", a.Tries()), Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), BodyConsumed: rapid.IntRange(0, 9).Draw(t, "body") == 0}
+				if b.Next(now, &a, f) != Retry {
+					break
+				}
+				retried++
+				answer := f.Kind.Answer()
+				if answer.Outcome == errkind.NotRun {
+					refused++
+				} else {
+					mayHaveRun++
+				}
+				if answer.Outcome != errkind.NotRun && !r.Repeatable || f.BodyConsumed || !now.Before(r.Deadline) || a.Tries() > MaxTries {
+					t.Fatalf("retry of %+v after %+v in try %d", r, f, a.Tries())
+				}
+				if !slices.Contains(a.Exclude(), f.Backend) {
+					t.Fatalf("%s is not excluded from the next choice", f.Backend)
+				}
+			}
+		}
+		minimum := 1 + now.Sub(epoch).Seconds()/MinimumEvery.Seconds()
+		if limit := float64(requests*percent)/100 + minimum; float64(mayHaveRun) > limit+1e-6 || percent == 0 && mayHaveRun > 0 {
+			t.Fatalf("%d retries that may have run for %d requests, limit %.1f", mayHaveRun, requests, limit)
+		}
+		if limit := float64(requests*RefusedPercent)/100 + minimum; float64(refused) > limit+1e-6 || percent == 0 && refused > 0 {
+			t.Fatalf("%d retries after refusals for %d requests, limit %.1f", refused, requests, limit)
+		}
+	})
+	if retried < 100 {
+		t.Errorf("only %d retries were allowed in all runs", retried)
+	}
+}
+
+// Guards against unbounded memory, and against customers that evade the budget when it is full.
+func TestBudgetsAreBounded(t *testing.T) {
+	b := New()
+	retries := 0
+	for i := range 3 * MaxEntries {
+		a := b.Begin(epoch, Request{Customer: fmt.Sprint(i), Service: "s", Repeatable: true, BudgetPercent: 1, Deadline: epoch.Add(time.Second)})
+		if b.Next(epoch, &a, Failure{Kind: errkind.BackendBroken}) == Retry {
+			retries++
+		}
+	}
+	if b.Len() > MaxEntries {
+		t.Errorf("%d budgets held", b.Len())
+	}
+	if limit := MaxEntries + shardCount + 3*MaxEntries/100; retries > limit {
+		t.Errorf("%d retries, limit %d", retries, limit)
+	}
+	if b.Expire(epoch.Add(ExpireAfter)); b.Len() != 0 {
+		t.Errorf("%d idle budgets are still held", b.Len())
+	}
+}
+
+// amplification returns the tries per request of 100 requests a second for a minute, when each of 10 backend servers
+// fails with the kind if it is among the failing ones.
+func amplification(failing int, kind errkind.Kind) (tries, lost float64) {
+	random := rand.New(rand.NewPCG(1, 2))
+	b, now := New(), epoch
+	const requests = 6000
+	for range requests {
+		now = now.Add(10 * time.Millisecond)
+		a := b.Begin(now, Request{Customer: "c", Service: "s", Repeatable: true, BudgetPercent: 10, Deadline: now.Add(time.Second)})
+		for {
+			backend := random.IntN(10)
+			if slices.Contains(a.Exclude(), fmt.Sprint(backend)) {
+				continue
+			}
+			if backend >= failing {
+				break
+			}
+			if b.Next(now, &a, Failure{Backend: fmt.Sprint(backend), Kind: kind}) != Retry {
+				lost++
+				break
+			}
+		}
+		tries += float64(a.Tries())
+	}
+	return tries / requests, lost / requests
+}
+
+// BenchmarkAmplification reports tries per request and the share of requests that failed in the end.
+func BenchmarkAmplification(b *testing.B) {
+	for _, kind := range []errkind.Kind{errkind.BackendBroken, errkind.SlotsFull} {
+		for _, failing := range []int{1, 5, 10} {
+			b.Run(fmt.Sprintf("%v/failing=%d%%", kind, failing*10), func(b *testing.B) {
+				var tries, lost float64
+				for b.Loop() {
+					tries, lost = amplification(failing, kind)
+				}
+				b.ReportMetric(tries, "tries/request")
+				b.ReportMetric(lost, "failed/request")
+			})
+		}
+	}
+}
+
+// BenchmarkRequest measures what a request without failures costs on the request path.
+func BenchmarkRequest(b *testing.B) {
+	budgets := New()
+	r := Request{Customer: "c", Service: "s", BudgetPercent: 10, Deadline: epoch}
+	b.ReportAllocs()
+	for b.Loop() {
+		budgets.Begin(epoch, r)
+	}
+}
