Choose backend servers by load and locality, and retry under budgets

Cause: entries picked at random and retried up to three times without a budget. Change: the balancer and the retry budgets decide; a repeatable request that hangs is tried elsewhere after 20 times the normal time; one codec for the state and baseline headers instead of two.

--- a/internal/admin/api.go
+++ b/internal/admin/api.go
@@ -71,6 +71,8 @@
 	VM            string
 	DataCentre    string
 	Region        string
+	// Tier is the distance from this entry: own data centre, own region or other region.
+	Tier string
 	// Mode is the last mode that its home reported, empty when this entry has not heard of it.
 	Mode string
 	// Usable is false when the entry would not choose it now; Reason says why.
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -65,7 +65,7 @@
 	for field := range strings.SplitSeq(value, ";") {
 		name, text, _ := strings.Cut(field, "=")
 		if name == "mode" {
-			s.Mode = parseMode(text)
+			s.Mode = ParseMode(text)
 			continue
 		}
 		target := s.field(name)
@@ -98,7 +98,8 @@
 	}
 }
 
-func parseMode(text string) Mode {
+// ParseMode returns the mode with the name, or Unknown.
+func ParseMode(text string) Mode {
 	for i, name := range modeNames {
 		if name == text {
 			return Mode(i)
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -88,12 +88,13 @@
 	d.shares.SetPlan(plan)
 }
 
-// watchViews keeps the holders of limits in step with the live VMs of the region, and notes the end of the start procedure.
+// watchViews keeps the holders of limits in step with the live VMs of the region, and drops state that is no longer used.
 func (d *Daemon) watchViews(ctx context.Context) {
 	ticker := time.NewTicker(viewInterval)
 	defer ticker.Stop()
 	for {
 		d.updateView()
+		d.entry.Expire(time.Now())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,7 +71,7 @@
 	}
 	d := &Daemon{
 		settings: s, incarnation: newIncarnation(), log: log, audit: audit.New(s.VM, audit.DefaultCapacity, o.Audit),
-		started: time.Now().UTC(), book: inforce.New(), published: make(chan struct{}, 1), askShares: make(chan struct{}, 1), drained: make(chan struct{}),
+		started: time.Now().UTC(), metrics: metrics.NewSet(), book: inforce.New(), published: make(chan struct{}, 1), askShares: make(chan struct{}, 1), drained: make(chan struct{}),
 	}
 	d.platform = newPlatformClient(s.Platform)
 	d.peers = newPeerClients()
@@ -85,8 +85,9 @@
 		VM: s.VM, Locality: catalog.Locality{DataCentre: s.DataCentre, Region: s.Region},
 		Snapshot: d.snapshot, Incarnation: d.incarnation, Memory: d.memory, Leaving: d.home.Leaving,
 		Limiter: &limiter{user: d.shares, ask: d.askShares}, Transport: forward.NewPeerTransport(nil),
+		Observer: requestMetrics{d.metrics}, Seed: d.incarnation,
 	})
-	d.metrics = d.newMetrics()
+	d.addGauges()
 	return d, d.listen()
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -11,10 +11,10 @@
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 )
 
-// newMetrics registers the gauges that read the daemon's state. Counters and histograms of requests are added by entry and
+// addGauges registers the gauges that read the daemon's state. Counters and histograms of requests are added by entry and
 // home. No metric has a label per customer: 37,000 of them would be too many series.
-func (d *Daemon) newMetrics() *metrics.Set {
-	set := metrics.NewSet()
+func (d *Daemon) addGauges() {
+	set := d.metrics
 	set.NewGauge("cowslip_ready", func() float64 { return boolGauge(d.snapshot() != nil) })
 	set.NewGauge("cowslip_leaving", func() float64 { return boolGauge(d.home.Leaving()) })
 	set.NewGauge("cowslip_config_index_revision", func() float64 { return float64(d.sync.IndexRevision()) })
@@ -27,7 +27,6 @@
 	for mode := ejection.Warming; mode <= ejection.Draining; mode++ {
 		set.NewGauge(fmt.Sprintf(`cowslip_backend_servers{mode=%q}`, mode), func() float64 { return float64(d.countMode(mode)) })
 	}
-	return set
 }
 
 func boolGauge(v bool) float64 {
@@ -64,8 +63,3 @@
 	answer := kind.Answer()
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cowslip_request_errors_total{kind=%q,outcome=%q}`, answer.Name, answer.Outcome)).Inc()
 }
-
-// Spilled records a request that crossed to the other region, with the bytes of its body and its response.
-func (m requestMetrics) Spilled(service string, bytes int64) {
-	m.set.GetOrCreateCounter(fmt.Sprintf(`cowslip_other_region_bytes_total{service=%q}`, service)).AddInt64(bytes)
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/balance"
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/operation"
+	"github.com/cowsliprun/cowsliprun/internal/retry"
 	"github.com/go-chi/chi/v5"
 )
 
@@ -33,8 +36,25 @@
 	Leaving func() bool
 	// Limiter applies the rate and concurrency limits of contracts. Default: no limits.
 	Limiter Limiter
+	// Observer counts how requests end. Default: none.
+	Observer Observer
+	// Seed draws the random choices of the balancer.
+	Seed uint64
 }
 
+// Observer counts how requests end. Its methods must not block.
+type Observer interface {
+	// Answered tells of a backend server's response, the time until it was ready, and the number of tries.
+	Answered(service string, took time.Duration, tries int)
+	// Refused tells of a request that ended with an error of the system.
+	Refused(kind errkind.Kind)
+}
+
+type unobserved struct{}
+
+func (unobserved) Answered(string, time.Duration, int) {}
+func (unobserved) Refused(errkind.Kind)                {}
+
 // Limiter applies the rate and concurrency limits of contracts.
 type Limiter interface {
 	// Admit takes one request, waiting shortly when a share is on its way. After nil, Release must be called.
@@ -62,7 +82,11 @@
 	uploads     *operation.Uploads
 	leaving     func() bool
 	limiter     Limiter
-	locality    catalog.Locality
+	observer    Observer
+
+	balancer  *balance.Balancer
+	budgets   *retry.Budgets
+	baselines baselineTimes
 }
 
 // New returns an Entry.
@@ -79,9 +103,13 @@
 	if o.Limiter == nil {
 		o.Limiter = unlimited{}
 	}
+	if o.Observer == nil {
+		o.Observer = unobserved{}
+	}
 	return &Entry{
-		limiter: o.Limiter, locality: o.Locality,
-		vm: o.VM, snapshot: o.Snapshot, transport: o.Transport, incarnation: o.Incarnation, memory: o.Memory,
+		limiter: o.Limiter, observer: o.Observer, budgets: retry.New(),
+		balancer: balance.New(balance.Options{Locality: o.Locality, Random: rand.NewPCG(o.Seed, o.Seed), Now: time.Now()}),
+		vm:       o.VM, snapshot: o.Snapshot, transport: o.Transport, incarnation: o.Incarnation, memory: o.Memory,
 		uploads: operation.NewUploads(uploadBudgetBytes), leaving: o.Leaving,
 	}
 }
@@ -109,14 +137,14 @@
 	w.Header().Set(forward.HeaderRequestID, id)
 	c, err := e.admit(r)
 	if err != nil {
-		writeError(w, err)
+		e.fail(w, err)
 		return
 	}
 	c.id = id
 	ctx, cancel := context.WithTimeout(r.Context(), e.deadline(r, c.route))
 	defer cancel()
 	if err := e.limiter.Admit(ctx, c.customer); err != nil {
-		writeError(w, err)
+		e.fail(w, err)
 		return
 	}
 	defer e.limiter.Release(c.customer.Name)
@@ -125,10 +153,21 @@
 		serve = e.operate
 	}
 	if err := serve(ctx, w, r, c); err != nil {
-		writeError(w, err)
+		e.fail(w, err)
 	}
 }
 
+// Expire drops state of services and customers without traffic. It is called every few seconds.
+func (e *Entry) Expire(now time.Time) {
+	e.balancer.Expire(now)
+	e.budgets.Expire(now)
+}
+
+func (e *Entry) fail(w http.ResponseWriter, err error) {
+	e.observer.Refused(errkind.Of(err))
+	writeError(w, err)
+}
+
 // admit finds the contract that applies and checks its limits.
 func (e *Entry) admit(r *http.Request) (*call, error) {
 	c, err := e.identify(r, r.URL.Path)
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -1,7 +1,11 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/cowsliprun/cowsliprun/internal/admin"
+	"github.com/cowsliprun/cowsliprun/internal/balance"
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 )
@@ -36,5 +40,22 @@
 		return refuse(errkind.NoBackend, "the service has no backend servers")
 	}
 	out.Floor = service.Floor
+	for _, seen := range e.balancer.Explain(time.Now(), service.Name) {
+		out.Candidates = append(out.Candidates, candidate(snapshot, seen))
+	}
+	return out
+}
+
+func candidate(snapshot *catalog.Snapshot, seen balance.Candidate) admin.Candidate {
+	out := admin.Candidate{
+		BackendServer: seen.Backend, VM: seen.VM, Tier: seen.Tier, Mode: seen.Mode, Usable: seen.LeftOut == "" || seen.PutBack,
+		Reason: seen.LeftOut, InFlight: seen.Load, Allowed: seen.Slots, Latency: seen.Latency, Score: seen.Score,
+	}
+	if seen.PutBack {
+		out.Reason += "; used all the same, because the floor leaves too few others"
+	}
+	if vm := snapshot.VM(seen.VM); vm != nil {
+		out.DataCentre, out.Region = vm.Locality.DataCentre, vm.Locality.Region
+	}
 	return out
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -2,61 +2,139 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"errors"
 	"net/http"
+	"strconv"
+	"time"
 
-	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/balance"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/retry"
 )
 
-const maxTries = 3
+// A lookup that has not been answered after tryFactor times the service's normal time, and at least minTryTime, is tried on
+// another backend server while the deadline still allows it. A hanging backend server would else cost the whole deadline.
+const (
+	tryFactor  = 20
+	minTryTime = 250 * time.Millisecond
+)
+
+// errTryTime ends a try that took too long, while the request itself goes on.
+var errTryTime = errors.New("no response within the time for one try")
 
 // forward has the request served and passes the response to the caller.
 func (e *Entry) forward(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) error {
+	start := time.Now()
 	t, err := e.tries(ctx, r, c)
 	if err != nil {
 		return err
 	}
+	defer t.end()
+	e.observer.Answered(c.service.Name, time.Since(start), t.number)
 	t.pass(w)
 	return nil
 }
 
-// tries tries backend servers until one answers or no further try is allowed.
+// tries tries backend servers until one answers or no further try is allowed. The caller ends the returned try.
 func (e *Entry) tries(ctx context.Context, r *http.Request, c *call) (*try, error) {
-	var last error = errkind.New(errkind.NoBackend, "service "+c.service.Name+" has no backend server to try")
-	tried := map[string]bool{}
-	for range maxTries {
-		backend := pick(c.service, tried)
-		if backend == nil {
-			return nil, last
+	deadline, _ := ctx.Deadline()
+	attempt := e.budgets.Begin(time.Now(), retry.Request{
+		Customer: c.customer.Name, Service: c.service.Name, Repeatable: c.repeatable, Deadline: deadline,
+		BudgetPercent: c.customer.RetryBudgetPercent,
+	})
+	var last error
+	for {
+		now := time.Now()
+		choice, err := e.balancer.Pick(now, balance.PickRequest{Service: c.service, Spill: c.customer.SpillToOtherRegion, Exclude: attempt.Exclude()})
+		if err != nil {
+			if last != nil {
+				return nil, last // the failure of a try tells more than the lack of another candidate
+			}
+			return nil, err
 		}
-		tried[backend.ID] = true
-		t := &try{call: c, backend: backend, vm: backend.VM.ID, address: backend.VM.PeerAddress}
-		last = t.do(ctx, e.transport, r)
+		t := &try{
+			call: c, backend: choice.Backend, vm: choice.Backend.VM.ID, address: choice.Backend.VM.PeerAddress, entry: e,
+			choice: choice, number: attempt.Tries(),
+		}
+		last = e.once(ctx, r, t)
 		if last == nil {
 			return t, nil
 		}
-		if !e.mayRetry(ctx, c, last) {
+		failure := retry.Failure{Backend: choice.Backend.ID, Kind: errkind.Of(last), BodyConsumed: !c.body.repeatable()}
+		if e.budgets.Next(time.Now(), &attempt, failure) != retry.Retry {
 			return nil, last
 		}
 	}
-	return nil, last
 }
 
-func (e *Entry) mayRetry(ctx context.Context, c *call, err error) bool {
-	if ctx.Err() != nil || !c.body.repeatable() {
-		return false
+// once runs one try and reports its end to the balancer.
+func (e *Entry) once(ctx context.Context, r *http.Request, t *try) error {
+	tryCtx, cancel := context.WithCancelCause(ctx)
+	t.cancel = func() { cancel(nil) }
+	if limit, ok := e.tryTime(ctx, t); ok {
+		timer := time.AfterFunc(limit, func() { cancel(errTryTime) })
+		defer timer.Stop()
+	}
+	err := t.do(tryCtx, e.transport, r)
+	if err != nil {
+		t.cancel()
 	}
-	return errkind.Of(err).Answer().RetryElsewhere || c.repeatable
+	e.report(time.Now(), t, err, tryCtx)
+	return err
 }
 
-func pick(service *catalog.Service, tried map[string]bool) *catalog.BackendServer {
-	start := rand.IntN(len(service.BackendServers))
-	for i := range service.BackendServers {
-		b := service.BackendServers[(start+i)%len(service.BackendServers)]
-		if !tried[b.ID] {
-			return b
-		}
+// tryTime returns the time for one try, when another one could follow.
+func (e *Entry) tryTime(ctx context.Context, t *try) (time.Duration, bool) {
+	if !t.call.repeatable || !t.call.body.repeatable() || t.number >= retry.MaxTries {
+		return 0, false
 	}
-	return nil
+	normal := e.balancer.Baseline(time.Now(), t.call.service.Name)
+	if normal.Members == 0 {
+		return 0, false
+	}
+	limit := max(minTryTime, tryFactor*normal.ServiceTime)
+	deadline, ok := ctx.Deadline()
+	return limit, ok && time.Until(deadline) > 2*limit
+}
+
+// report tells the balancer how a try ended: what concerns the backend server, what the path, and what neither.
+func (e *Entry) report(now time.Time, t *try, err error, ctx context.Context) {
+	if t.response != nil {
+		e.takeState(now, t)
+	}
+	if err == nil {
+		e.balancer.Finished(now, t.choice, balance.Response{
+			Latency: t.latency, ServiceTime: serviceTime(t.response), Error: t.response.StatusCode >= 500 && t.response.Header.Get("Retry-After") == "",
+		})
+		return
+	}
+	kind := errkind.Of(err)
+	switch {
+	case t.reported && kind.Answer().Outcome == errkind.NotRun:
+		e.balancer.Refused(now, t.choice, kind)
+	case t.reported:
+		e.balancer.Failed(now, t.choice, true)
+	case kind == errkind.HomeUnreachable || kind == errkind.PathBroken && ctx.Err() == nil:
+		e.balancer.Failed(now, t.choice, false)
+	default:
+		// A deadline, a caller that left or an upload that broke: neither the path nor the backend server is known to be at
+		// fault. The time waited still counts.
+		e.balancer.Abandoned(now, t.choice)
+	}
+}
+
+func (e *Entry) takeState(now time.Time, t *try) {
+	state, err := balance.ParseState(t.response.Header.Get(forward.HeaderState))
+	if err == nil && t.response.Header.Get(forward.HeaderState) != "" {
+		e.balancer.Update(now, t.call.service.Name, t.backend.ID, state)
+	}
+}
+
+func serviceTime(resp *http.Response) time.Duration {
+	us, err := strconv.ParseInt(resp.Header.Get(forward.HeaderServiceTime), 10, 64)
+	if err != nil || us < 0 {
+		return 0
+	}
+	return time.Duration(us) * time.Microsecond
 }
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -125,9 +125,10 @@
 	var last error
 	uncertain := false
 	for range ownerTries {
-		t := &try{call: c, address: owner.PeerAddress, vm: owner.ID, toOwner: true, ownerBody: body}
+		t := &try{call: c, address: owner.PeerAddress, vm: owner.ID, toOwner: true, ownerBody: body, entry: e}
 		last = t.do(ctx, e.transport, r)
 		if last == nil {
+			defer t.end()
 			t.pass(w)
 			return nil
 		}
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -69,7 +69,7 @@
 		result = operation.Result{Outcome: answer.Outcome, Kind: errkind.Of(err)}
 		return nil, false, err
 	}
-	defer t.response.Body.Close()
+	defer t.end()
 	response, err := recordResponse(t)
 	if err != nil {
 		result = operation.Result{Outcome: errkind.Unknown, Kind: errkind.Of(err)}
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/balance"
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
@@ -30,6 +31,17 @@
 	// ownerBody is the body of a request to the owner of an operation key, nil for requests to a backend server.
 	ownerBody []byte
 	toOwner   bool
+
+	entry  *Entry
+	choice balance.Choice
+	// number counts the tries of the request from 1.
+	number int
+	// cancel releases the try's context.
+	cancel context.CancelFunc
+	// latency is the time until the response header.
+	latency time.Duration
+	// reported is true when the home itself reported the error, so the path works.
+	reported  bool
 	connected atomic.Bool
 	response  *http.Response
 	body      io.Reader
@@ -38,7 +50,9 @@
 // do sends the request and waits for the response header, and for the whole body when it is small.
 func (t *try) do(ctx context.Context, transport http.RoundTripper, r *http.Request) error {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) }}
+	start := time.Now()
 	resp, err := transport.RoundTrip(t.request(httptrace.WithClientTrace(ctx, trace), r))
+	t.latency = time.Since(start)
 	if err != nil {
 		return t.classify(ctx, err)
 	}
@@ -63,6 +77,7 @@
 	} else {
 		h.Set(forward.HeaderBackend, t.backend.ID)
 		h.Set(forward.HeaderService, t.backend.Service)
+		t.addBaseline(h)
 	}
 	h.Set(forward.HeaderCustomer, t.call.customer.Name)
 	h.Set(forward.HeaderRequestID, t.call.id)
@@ -77,6 +92,28 @@
 	return out
 }
 
+// addBaseline tells the home how the service does, at most once a second.
+func (t *try) addBaseline(h http.Header) {
+	now := time.Now()
+	if !t.entry.baselines.due(now, t.backend.ID) {
+		return
+	}
+	if b := t.entry.balancer.Baseline(now, t.backend.Service); b.Members > 0 {
+		h.Set(forward.HeaderBaseline, b.String())
+		h.Set(forward.HeaderEntry, t.entry.vm)
+	}
+}
+
+// end releases what the try holds. It must be called after the response was read.
+func (t *try) end() {
+	if t.response != nil {
+		t.response.Body.Close()
+	}
+	if t.cancel != nil {
+		t.cancel()
+	}
+}
+
 func (t *try) attachBody(out *http.Request) {
 	body := t.call.body
 	if t.toOwner {
@@ -105,12 +142,23 @@
 	if !t.connected.Load() {
 		return errkind.Wrap(errkind.HomeUnreachable, err, "no connection to the daemon of VM "+t.vm)
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return errkind.Wrap(errkind.DeadlineExceeded, err, "no response within the deadline")
+	if e := t.late(ctx, err); e != nil {
+		return e
 	}
 	return errkind.Wrap(errkind.PathBroken, err, "the connection to the daemon of VM "+t.vm+" broke")
 }
 
+// late returns the error for a try that ended by time, or nil.
+func (t *try) late(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return errkind.Wrap(errkind.DeadlineExceeded, err, "no whole response within the deadline")
+	case errors.Is(context.Cause(ctx), errTryTime):
+		return errkind.Wrap(errkind.PathBroken, errTryTime, "VM "+t.vm)
+	}
+	return nil
+}
+
 // check accepts only the whole answer to this very request.
 func (t *try) check(ctx context.Context) error {
 	resp := t.response
@@ -118,6 +166,7 @@
 		return errkind.New(errkind.PathBroken, "the response belongs to another request")
 	}
 	if e := forward.ErrorOf(resp); e != nil {
+		t.reported = e.Kind != errkind.PathBroken
 		return e
 	}
 	t.body = resp.Body
@@ -130,8 +179,8 @@
 	whole := make([]byte, 0, resp.ContentLength)
 	buffer := bytes.NewBuffer(whole)
 	if _, err := buffer.ReadFrom(t.body); err != nil {
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return errkind.Wrap(errkind.DeadlineExceeded, err, "the response was not whole within the deadline")
+		if e := t.late(ctx, err); e != nil {
+			return e
 		}
 		return errkind.Wrap(errkind.PathBroken, err, "the response was cut between daemons")
 	}
@@ -145,7 +194,6 @@
 
 // pass hands the response to the caller. A response that breaks on the way ends as a broken connection.
 func (t *try) pass(w http.ResponseWriter) {
-	defer t.response.Body.Close()
 	forward.CopyHeaders(w.Header(), t.response.Header)
 	w.Header().Set(forward.HeaderOutcome, errkind.Answered.String())
 	if t.backend != nil {
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/balance"
 	"github.com/cowsliprun/cowsliprun/internal/ejection"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
@@ -113,13 +114,13 @@
 	if text == "" {
 		return
 	}
-	b, err := forward.ParseBaseline(text)
+	b, err := balance.ParseBaseline(text)
 	if err != nil {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.life.Baseline(time.Now(), r.Header.Get(forward.HeaderEntry), ejection.Baseline{Median: b.Median, ErrorShare: b.ErrorShare, Members: b.Members})
+	m.life.Baseline(time.Now(), r.Header.Get(forward.HeaderEntry), ejection.Baseline{Median: b.ServiceTime, ErrorShare: b.ErrorShare, Members: b.Members})
 }
 
 // admit takes a slot. All errors are refusals: nothing was handed over.
--- a/internal/home/member.go
+++ b/internal/home/member.go
@@ -7,10 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/balance"
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/ejection"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
-	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/reservation"
 )
 
@@ -75,7 +75,7 @@
 	if leaving {
 		mode, ttl = ejection.Draining.String(), 0
 	}
-	return forward.State{InFlight: inFlight + waiting, Slots: m.slotCount, Allowed: st.Allowed, Mode: mode, Remaining: ttl}.String()
+	return balance.State{InFlight: inFlight + waiting, Slots: m.slotCount, Allowed: st.Allowed, Mode: balance.ParseMode(mode), Remaining: ttl}.String()
 }
 
 // refusal returns the reason for which the mode refuses new work, or nil.
