--- /dev/null
+++ b/internal/ctl/check.go
@@ -0,0 +1,63 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/strictyaml"
+)
+
+var checkCommand = command{
+	name:    "check",
+	args:    "FILE|DIR... [FLAGS]",
+	summary: "Check documents and show all faults with file, line and field.",
+	details: "Files are YAML. Of directories, all files named *.yaml or *.yml are read, at any depth; names that begin with a\n" +
+		"dot are left out. References between documents are checked, so name all files of the fleet together.",
+	examples: []string{
+		"cowslipctl check fleet/                          # the whole fleet",
+		"cowslipctl check fleet/ --output json            # for scripts",
+		"cowslipctl check base.yaml customers/hotel.yaml  # single files",
+	},
+	setup: func(*flaggy.Parser) runFunc { return runCheck },
+}
+
+type checkResult struct {
+	Documents int               `json:"documents"`
+	Issues    strictyaml.Issues `json:"issues"`
+}
+
+func runCheck(out *output, args []string) int {
+	if len(args) == 0 {
+		return out.usage("name at least one file or directory")
+	}
+	docs, issues := load(args...)
+	result := checkResult{Documents: len(docs.All()), Issues: issues}
+	out.result(result, func(w io.Writer) {
+		writeIssues(w, issues)
+		fmt.Fprintf(w, "%d documents, %d faults\n", result.Documents, len(issues))
+	})
+	if len(issues) > 0 {
+		return StatusFindings
+	}
+	return StatusOK
+}
+
+// load reads and checks documents. No documents at all are a fault, because a wrong path would look like a good fleet.
+func load(paths ...string) (contract.Documents, strictyaml.Issues) {
+	var set contract.Set
+	set.AddPaths(paths...)
+	docs, issues := set.Documents(), set.Check()
+	if len(issues) == 0 && len(docs.All()) == 0 {
+		issues = strictyaml.Issues{{File: paths[0], Message: "no documents found"}}
+	}
+	return docs, issues
+}
+
+func writeIssues(w io.Writer, issues strictyaml.Issues) {
+	for _, issue := range issues {
+		fmt.Fprintln(w, issue.Error())
+	}
+}
--- /dev/null
+++ b/internal/ctl/help.go
@@ -0,0 +1,44 @@
+package ctl
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/integrii/flaggy"
+)
+
+func writeOverview(w io.Writer) {
+	fmt.Fprintln(w, "cowslipctl checks, compares and renders the documents of a proxy fleet.")
+	fmt.Fprintln(w, "\nUsage: cowslipctl COMMAND [ARGUMENTS] [FLAGS]\n\nCommands:")
+	for _, cmd := range commands() {
+		fmt.Fprintf(w, "  %-8s %s\n", cmd.name, cmd.summary)
+	}
+	fmt.Fprintln(w, "\ncowslipctl COMMAND --help shows the flags of a command, with examples.")
+	writeStatuses(w)
+}
+
+func writeStatuses(w io.Writer) {
+	fmt.Fprintln(w, "\nExit status: 0 nothing to report, 1 faults or differences found, 2 wrong usage or unusable input or output,")
+	fmt.Fprintln(w, "3 a daemon did not respond.")
+}
+
+func (cmd command) writeHelp(w io.Writer, parser *flaggy.Parser) {
+	fmt.Fprintf(w, "Usage: cowslipctl %s %s\n\n%s\n", cmd.name, cmd.args, cmd.summary)
+	if cmd.details != "" {
+		fmt.Fprintf(w, "\n%s\n", cmd.details)
+	}
+	fmt.Fprintln(w, "\nFlags:")
+	for _, f := range parser.Flags {
+		short := "   "
+		if f.ShortName != "" {
+			short = "-" + f.ShortName + ","
+		}
+		fmt.Fprintf(w, "  %s --%-8s %s\n", short, f.LongName, f.Description)
+	}
+	fmt.Fprintln(w, "  -h, --help     this text")
+	fmt.Fprintln(w, "\nExamples:")
+	for _, example := range cmd.examples {
+		fmt.Fprintf(w, "  %s\n", example)
+	}
+	writeStatuses(w)
+}
