--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -61,19 +61,19 @@
 			s = s.Replace(src)
 			requireEqual(t, s, Build(slices.Collect(maps.Values(latest))))
 			requireEqual(t, before, Build(beforeSources))
-			for name, p := range s.parts {
-				for _, svc := range p.services {
-					if s.Service(svc.Name) != svc {
-						t.Fatalf("the part %s holds another version of %s than the snapshot", name, svc.Name)
-					}
-				}
-			}
 		}
 	})
 }
 
 func requireEqual(t *rapid.T, got, want *Snapshot) {
 	t.Helper()
+	for name, p := range got.parts {
+		for _, svc := range p.services {
+			if got.Service(svc.Name) != svc {
+				t.Fatalf("the part %s holds another version of %s than the snapshot", name, svc.Name)
+			}
+		}
+	}
 	if !reflect.DeepEqual(got.Customers(), want.Customers()) || got.CustomerCount() != len(want.Customers()) ||
 		!reflect.DeepEqual(got.Services(), want.Services()) || !reflect.DeepEqual(got.VMs(), want.VMs()) {
 		t.Fatalf("got %v %v %v\nwant %v %v %v", got.Customers(), got.Services(), got.VMs(), want.Customers(), want.Services(), want.VMs())
--- a/internal/contract/value_test.go
+++ b/internal/contract/value_test.go
@@ -80,6 +80,15 @@
 	if value, err := DecodeValue(ContractValue(0), fmt.Appendf(nil, `{"documents":[%s]}`, good), nil); err != nil || len(value.Bad) != 1 {
 		t.Errorf("document of another kind: %+v, %v", value, err)
 	}
+	values, err := Render(loadFleet(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	home := ContractBucket("hotel-borg")
+	moved, err := DecodeValue(ContractValue((home+1)%ContractBuckets), values[ContractValue(home)], nil)
+	if err != nil || len(moved.Bad) != 1 || moved.Bad[0].Problem != "belongs to the value "+ContractValue(home) {
+		t.Errorf("contract in the value of another customer: %+v, %v", moved, err)
+	}
 	for _, text := range []string{``, `{}`, `[]`, `{"documents":null}`, `{"documents":[],"x":1}`, `{"documents":[]} x`} {
 		if _, err := DecodeValue(ValueVMs, []byte(text), nil); err == nil {
 			t.Errorf("the value %q was decoded", text)
@@ -101,6 +110,9 @@
 	if len(findings) != 1 || findings[0].Reason != ReasonUnreadable || after.Revision != 5 || len(after.Documents.VMs) != 1 {
 		t.Errorf("in force %+v, findings %v", after, findings)
 	}
+	if same, findings := Merge(ValueVMs, inForce, 5, Value{}); len(findings) > 0 || len(same.Documents.VMs) != 1 {
+		t.Errorf("another value at the same revision gives %+v, %v", same, findings)
+	}
 	emptied, _, _ := Apply(ValueVMs, after, 7, []byte(`{"documents":[]}`), nil)
 	if _, _, findings = Apply(ValueVMs, emptied, 8, values[ValueVMs], nil); len(findings) != 1 || findings[0].Reason != ReasonRecreated || !findings[0].IsConflict() {
 		t.Errorf("re-creation with the deleted generation gives %v", findings)
