--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -67,6 +67,13 @@
 
 func requireEqual(t *rapid.T, got, want *Snapshot) {
 	t.Helper()
+	for name, p := range got.parts {
+		for _, svc := range p.services {
+			if got.Service(svc.Name) != svc {
+				t.Fatalf("the part %s holds another version of %s than the snapshot", name, svc.Name)
+			}
+		}
+	}
 	if !reflect.DeepEqual(got.Customers(), want.Customers()) || got.CustomerCount() != len(want.Customers()) ||
 		!reflect.DeepEqual(got.Services(), want.Services()) || !reflect.DeepEqual(got.VMs(), want.VMs()) {
 		t.Fatalf("got %v %v %v\nwant %v %v %v", got.Customers(), got.Services(), got.VMs(), want.Customers(), want.Services(), want.VMs())
