Pool the error share of a baseline over the other backend servers

Cause: at 2 requests a second each entry sees one or two answers of a backend server in its window, so the median of the error shares reads 0 during a burst of errors of the whole service, and every backend server looks worse than the rest. Change: share over all answers of the others except the one with the most failures, over 5 s. Contract of Baseline.ErrorShare changed accordingly. Ruled out: mean without leaving one out (one failing backend server hides a second one). Left in fast-detection: latency during load swings and errors at 10 requests a second.

--- a/internal/ejection/baseline.go
+++ b/internal/ejection/baseline.go
@@ -13,7 +13,9 @@
 type Baseline struct {
 	// Median is the median over the other backend servers of their recent median service time.
 	Median time.Duration
-	// ErrorShare is the median over the other backend servers of their recent error share, from 0 to 1.
+	// ErrorShare is the recent share of failures, from 0 to 1, over all answers of the other backend servers except the one
+	// with the most failures. A median over backend servers would read 0 at low request rates, where most of them have
+	// no failure among their few recent answers.
 	ErrorShare float64
 	// Members is the number of other backend servers that the entry had samples of.
 	Members int
--- a/internal/ejection/measure/entry.go
+++ b/internal/ejection/measure/entry.go
@@ -26,82 +26,96 @@
 	h.next = (h.next + 1) % recentSamples
 }
 
-// figures returns the median service time and the error share of the answers that are still recent.
-func (h *history) figures(now time.Duration) (median time.Duration, share float64, ok bool) {
+// figures returns the median service time over the last few seconds and the answers and failures of a longer time, since
+// failures are rare.
+func (h *history) figures(now time.Duration) (median time.Duration, answers, failed int) {
 	var times [recentSamples]time.Duration
-	n, failed := 0, 0
+	n := 0
 	for i := range h.ring {
 		a := &h.ring[i]
-		switch {
-		case a.took == 0 || now-a.at > recent:
-		case a.failed:
+		if a.took == 0 || now-a.at > recentErrors {
+			continue
+		}
+		answers++
+		if a.failed {
 			failed++
-		default:
+		} else if now-a.at <= recent {
 			times[n] = a.took
 			n++
 		}
 	}
 	if n == 0 {
-		return 0, 0, false
+		return 0, answers, failed
 	}
 	slices.Sort(times[:n])
-	return times[n/2], float64(failed) / float64(n+failed), true
+	return times[n/2], answers, failed
 }
 
 // entry keeps the histories of one entry and reports baselines from them.
 type entry struct {
 	histories []history
-	medians   []time.Duration
-	shares    []float64
-	own       []time.Duration
-	ownShare  []float64
+	medians   []time.Duration // sorted
+	own       []figures
 	first     ejection.Baseline
 }
 
+type figures struct {
+	median          time.Duration
+	answers, failed int
+}
+
 func newEntry(members int) *entry {
-	return &entry{histories: make([]history, members), own: make([]time.Duration, members), ownShare: make([]float64, members)}
+	return &entry{histories: make([]history, members), own: make([]figures, members)}
 }
 
 // prepare computes the figures of all backend servers at now.
 func (e *entry) prepare(now time.Duration) {
-	e.medians, e.shares = e.medians[:0], e.shares[:0]
+	e.medians = e.medians[:0]
 	for i := range e.histories {
-		m, s, ok := e.histories[i].figures(now)
-		e.own[i], e.ownShare[i] = m, s
-		if ok {
-			e.medians = append(e.medians, m)
-			e.shares = append(e.shares, s)
+		f := &e.own[i]
+		f.median, f.answers, f.failed = e.histories[i].figures(now)
+		if f.median > 0 {
+			e.medians = append(e.medians, f.median)
 		}
 	}
 	slices.Sort(e.medians)
-	slices.Sort(e.shares)
 }
 
-// baseline returns the medians over the backend servers other than i.
+// baseline returns the figures of the backend servers other than i.
 func (e *entry) baseline(i int) ejection.Baseline {
-	n := len(e.medians)
-	if e.own[i] == 0 {
-		if n == 0 {
-			return ejection.Baseline{}
+	medians := e.medians
+	n := len(medians)
+	mid := n / 2
+	if e.own[i].median > 0 { // leave it out
+		n--
+		at, _ := slices.BinarySearch(medians, e.own[i].median)
+		if mid = n / 2; mid >= at {
+			mid++
 		}
-		return ejection.Baseline{Median: e.medians[n/2], ErrorShare: e.shares[n/2], Members: n}
 	}
-	if n < 2 {
+	if n == 0 {
 		return ejection.Baseline{}
 	}
-	return ejection.Baseline{
-		Median: middleWithout(e.medians, e.own[i]), ErrorShare: middleWithout(e.shares, e.ownShare[i]), Members: n - 1,
-	}
+	return ejection.Baseline{Median: medians[mid], ErrorShare: e.errorShare(i), Members: n}
 }
 
-// middleWithout returns the median of sorted after one occurrence of v is left out.
-func middleWithout[T time.Duration | float64](sorted []T, v T) T {
-	at, _ := slices.BinarySearch(sorted, v)
-	mid := (len(sorted) - 1) / 2
-	if mid >= at {
-		mid++
+// errorShare returns the share of failures of the backend servers other than i. The one with the most failures is left
+// out, so that one failing backend server does not hide another.
+func (e *entry) errorShare(i int) float64 {
+	var all, worst figures
+	for j, f := range e.own {
+		if j == i {
+			continue
+		}
+		all.answers, all.failed = all.answers+f.answers, all.failed+f.failed
+		if f.failed > worst.failed {
+			worst = f
+		}
+	}
+	if all.answers == worst.answers {
+		return 0
 	}
-	return sorted[mid]
+	return float64(all.failed-worst.failed) / float64(all.answers-worst.answers)
 }
 
 // distort returns what entry 0 reports behind a cut.
--- a/internal/ejection/measure/scenario.go
+++ b/internal/ejection/measure/scenario.go
@@ -81,5 +81,6 @@
 	coldErrors       = 0.2
 	baselineEvery    = time.Second
 	recent           = 2 * time.Second
+	recentErrors     = 5 * time.Second
 	tick             = 100 * time.Millisecond
 )
