--- a/internal/limits/divide.go
+++ b/internal/limits/divide.go
@@ -1,13 +1,33 @@
 package limits
 
-// fairLevel returns the max-min fair level: each asker gets at most the level, and the sum of min(want, level) is at most
-// part. It returns part when all wants fit.
+const (
+	// headroomRateMilli and headroomConcurrency are granted on top of half the demand while the part has room, so that growth does not
+	// wait for the next request. Headroom never takes from another asker's demand.
+	headroomRateMilli   = 2000
+	headroomConcurrency = 2
+)
+
+// fairGrant returns the max-min fair grant for one want out of n. While all wants fit, it adds headroom from an equal
+// division of what is left, at most half the want plus base.
+func fairGrant(part, mine, base uint64, n int, want func(int) uint64) uint64 {
+	var sum uint64
+	for i := range n {
+		sum += min(want(i), part)
+	}
+	if sum > part {
+		return min(mine, fairLevel(part, n, want))
+	}
+	return min(part, mine+min(mine/2+base, (part-sum)/uint64(n)))
+}
+
+// fairLevel returns the max-min fair level for wants that add up to more than part: each asker gets at most the level, and
+// the sum of min(want, level) is at most part. It returns part when all wants fit.
 func fairLevel(part uint64, n int, want func(int) uint64) uint64 {
 	var sum uint64
 	for i := range n {
 		sum += min(want(i), part)
 	}
-	if sum <= part || n == 0 {
+	if sum <= part {
 		return part
 	}
 	// Each pass takes out the askers that want no more than an equal division of what is left. The level only rises.
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -147,12 +147,16 @@
 			usedConcurrency += other.concurrency(now)
 		}
 	}
-	rateLevel := fairLevel(rates, n, func(i int) uint64 { return c.grants[i].wantRate })
-	concurrencyLevel := fairLevel(concurrencies, n, func(i int) uint64 { return c.grants[i].wantConcurrency })
-	// With more askers than slots the fair level is 0. One slot at a time then goes to whoever asks while one is free.
-	concurrencyLevel = max(1, concurrencyLevel)
-	rate := min(g.wantRate, rateLevel, available(rates, usedRate))
-	concurrency := min(g.wantConcurrency, concurrencyLevel, available(concurrencies, usedConcurrency))
+	rate := fairGrant(rates, g.wantRate, headroomRateMilli, n, func(i int) uint64 { return c.grants[i].wantRate })
+	concurrency := fairGrant(concurrencies, g.wantConcurrency, headroomConcurrency, n, func(i int) uint64 { return c.grants[i].wantConcurrency })
+	if g.wantRate == 0 {
+		rate, concurrency = 0, 0 // a return
+	} else {
+		// With more askers than slots the fair grant is 0. One slot at a time then goes to whoever asks while one is free.
+		concurrency = max(1, concurrency)
+	}
+	rate = min(rate, available(rates, usedRate))
+	concurrency = min(concurrency, available(concurrencies, usedConcurrency))
 	g.renew(now, rate, concurrency)
 	return rate, uint32(concurrency)
 }
--- a/internal/limits/state.go
+++ b/internal/limits/state.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 )
@@ -52,21 +53,27 @@
 
 // state is what an entry knows about an active customer.
 type state struct {
-	name       string
-	limits     contract.Limits
-	generation uint64
+	name   string
+	limits contract.Limits
+	// The details of refusals name the limit and the contract. They are kept because refusals are most frequent under overload.
+	rateDetail, concurrencyDetail string
+
 	base       bucket
 	share      share
+	generation uint64
 	inFlight   uint32
 	// wanted is true while the state is in the list of customers that need a share.
 	wanted bool
 
-	// Since the last sample: requests seen, most requests in flight wanted, start of the sample.
+	// Since the last sample: requests seen, refused for concurrency, most requests in flight wanted, start of the sample.
 	seen    uint32
+	refused uint32
 	peak    uint32
 	sampled time.Time
 	// rate is the smoothed demand in requests a second, refused requests included.
 	rate float64
+	// quiet is the time since the last sample with requests, in seconds.
+	quiet float64
 
 	// The last request for a share: its number, time, and what it wanted.
 	sequence uint64
@@ -74,10 +81,24 @@
 	want     Demand
 	// cut is true when the last grant was below what was wanted.
 	cut bool
+	// cutRetry is when to ask again after a grant below the demand. It grows up to the time of a renewal.
+	cutRetry time.Duration
 	// lastPeak is the peak of earlier samples, decaying by an eighth per sample.
 	lastPeak uint32
 }
 
+// setContract takes over the limits of a contract.
+func (s *state) setContract(c *catalog.Customer) {
+	if s.generation == c.Generation && s.limits == c.Limits && s.rateDetail != "" {
+		return
+	}
+	s.limits, s.generation = c.Limits, c.Generation
+	s.rateDetail = fmt.Sprintf("ratePerSecond %g for the whole fleet, contract of customer %s, generation %d",
+		c.Limits.RatePerSecond, c.Name, c.Generation)
+	s.concurrencyDetail = fmt.Sprintf("concurrency %d for the whole fleet, contract of customer %s, generation %d",
+		c.Limits.Concurrency, c.Name, c.Generation)
+}
+
 // admit decides about one request.
 func (s *state) admit(now time.Time, baseRate float64) Decision {
 	s.seen++
@@ -90,17 +111,16 @@
 	}
 	s.base.fill(now, baseRate, 1)
 	if s.inFlight >= allowed {
-		return Decision{Err: errkind.New(errkind.ConcurrencyLimited, fmt.Sprintf(
-			"concurrency %d for the whole fleet, contract of customer %s, generation %d", s.limits.Concurrency, s.name, s.generation)),
-			Wait: s.wait(shared, 0)}
+		// Refused requests show that more are wanted, but some of them repeat. The bound doubles the demand from one request to the holder to the next.
+		s.refused++
+		s.peak = max(s.peak, s.inFlight+min(s.refused, s.inFlight+1))
+		return Decision{Err: errkind.New(errkind.ConcurrencyLimited, s.concurrencyDetail), Wait: s.wait(shared, 0)}
 	}
 	if shared && s.share.used.take() || s.base.take() {
 		s.inFlight++
 		return Decision{OK: true}
 	}
-	return Decision{Err: errkind.New(errkind.RateLimited, fmt.Sprintf(
-		"ratePerSecond %g for the whole fleet, contract of customer %s, generation %d", s.limits.RatePerSecond, s.name, s.generation)),
-		Wait: s.wait(shared, s.share.used.tokens)}
+	return Decision{Err: errkind.New(errkind.RateLimited, s.rateDetail), Wait: s.wait(shared, s.share.used.tokens)}
 }
 
 // wait returns how long the entry may hold a refused request before it asks again, or 0 when the refusal is final: the
@@ -115,7 +135,12 @@
 	return MaxWait / 2
 }
 
-// sample updates the demand. Rising demand counts within half a second, falling demand within three.
+// minQuiet is the shortest time without requests after which an entry gives up its whole share. Longer times apply to rates
+// at which ten requests are expected in more than that, so that random arrivals seldom cause it.
+const minQuiet = 200 * time.Millisecond
+
+// sample updates the demand. It rises within 0.3 s. It falls within the time of about 20 requests, so that an entry gives up a
+// large share fast when its traffic moves away, and a small one does not follow each gap between requests.
 func (s *state) sample(now time.Time) {
 	d := now.Sub(s.sampled)
 	if d <= 0 {
@@ -123,19 +148,24 @@
 	}
 	seconds := d.Seconds()
 	current := float64(s.seen) / seconds
-	weight := min(1, seconds/0.5)
+	fall := min(max(20/s.rate, 0.3), 1.5)
 	if current < s.rate {
-		weight = min(1, seconds/3)
+		s.rate += (current - s.rate) * min(1, seconds/fall)
+	} else {
+		s.rate += (current - s.rate) * min(1, seconds/0.3)
+	}
+	if s.seen > 0 {
+		s.quiet = 0
+	} else if s.quiet += seconds; s.quiet >= max(minQuiet.Seconds(), 10/s.rate) {
+		s.rate = 0
 	}
-	s.rate += (current - s.rate) * weight
 	s.lastPeak = max(s.peak, s.lastPeak-min(s.lastPeak, s.lastPeak/8+1))
-	s.seen, s.peak, s.sampled = 0, s.inFlight, now
+	s.seen, s.refused, s.peak, s.sampled = 0, 0, s.inFlight, now
 }
 
-// demand returns what to ask the holder for, with headroom so that growth does not wait for the next request.
+// demand returns what to ask the holder for. The holder adds headroom while the part has room.
 func (s *state) demand() Demand {
-	return Demand{Customer: s.name, RateMilli: uint64((s.rate*headroom + 1) * 1000),
-		Concurrency: uint32(float64(s.lastPeak)*headroom) + 1, InFlight: s.inFlight}
+	return Demand{Customer: s.name, RateMilli: uint64(s.rate*1000) + 1, Concurrency: max(s.lastPeak, 1), InFlight: s.inFlight}
 }
 
 // due decides whether to send a request now. It is called for wanted states only.
@@ -156,13 +186,30 @@
 		return d, true, true
 	case shared && since >= correctAfter && s.off(d):
 		return d, true, true
+	case shared && s.cut && since >= s.cutRetry:
+		return d, true, true
 	}
 	return d, false, true
 }
 
 // off reports whether the share differs from the demand by so much that the next renewal would be late.
 func (s *state) off(d Demand) bool {
-	grow := d.RateMilli > s.want.RateMilli*5/4+1000 || d.Concurrency > s.want.Concurrency*5/4+1
-	shrink := d.RateMilli*2 < s.share.rateMilli && s.share.rateMilli > 2000
-	return grow || shrink || s.cut && s.share.rateMilli*2 < d.RateMilli
+	grow := d.RateMilli > s.share.rateMilli && d.RateMilli > s.want.RateMilli*5/4 ||
+		d.Concurrency > s.share.concurrency && d.Concurrency > s.want.Concurrency*5/4
+	return grow || s.oversized(d)
+}
+
+func (s *state) oversized(d Demand) bool {
+	return d.RateMilli*3 < s.share.rateMilli && s.share.rateMilli > 2*headroomRateMilli
+}
+
+// giveUp reduces an oversized share before the holder is asked, so that the holder can grant the difference at once instead of after the
+// next request.
+func (s *state) giveUp(d Demand) {
+	switch {
+	case d.RateMilli == 0:
+		s.share = share{}
+	case s.oversized(d):
+		s.share.rateMilli = d.RateMilli*3/2 + headroomRateMilli
+	}
 }
--- a/internal/limits/user.go
+++ b/internal/limits/user.go
@@ -15,9 +15,10 @@
 	// MaxWait bounds how long an entry holds a request that waits for a share.
 	MaxWait = 250 * time.Millisecond
 
-	headroom = 1.25
 	// correctAfter limits requests for a share that is held but does not fit the demand.
-	correctAfter = time.Second
+	correctAfter = 500 * time.Millisecond
+	// firstCutRetry is short, since another entry may give up its share within a second when traffic has moved.
+	firstCutRetry = 200 * time.Millisecond
 	// retryUnshared limits requests while there is no share, after a lost or an empty response.
 	retryUnshared = 500 * time.Millisecond
 	// returnAfter is the age at which an unused share is returned.
@@ -109,7 +110,7 @@
 		s = &state{name: c.Name, base: bucket{tokens: 1, last: now}, sampled: now}
 		sh.states[c.Name] = s
 	}
-	s.limits, s.generation = c.Limits, c.Generation
+	s.setContract(c)
 	d := s.admit(now, sh.plan.BaseRate(c.Limits))
 	add := !d.OK && !s.wanted
 	if add {
@@ -177,9 +178,7 @@
 	if !u.budget.take() {
 		return true, true
 	}
-	if d.RateMilli == 0 {
-		s.share = share{}
-	}
+	s.giveUp(d)
 	if s.share.valid(now) && s.share.holder == holder {
 		d.HeldRateMilli, d.HeldConcurrency = s.share.rateMilli, s.share.concurrency
 	}
@@ -218,6 +217,11 @@
 		return // the response to a return
 	}
 	s.cut = g.RateMilli < s.want.RateMilli || g.Concurrency < s.want.Concurrency
+	if s.cut {
+		s.cutRetry = min(max(s.cutRetry*5/4, firstCutRetry), Lease/2)
+	} else {
+		s.cutRetry = 0
+	}
 	used := bucket{last: now}
 	if s.share.valid(now) {
 		s.share.used.fill(now, float64(s.share.rateMilli)/1000, burst(s.limits, s.share.rateMilli))
