Add the choice of a backend server

Cause: an entry needs to choose among the backend servers of a service by what data traffic shows, without an own opinion that could break the floor.

Pick chooses and counts in one step under the mutex of the service: with a separate call, two requests could both take the last place of a backend server that ramps up. Divided by one allowed slot, a ramping backend server is chosen only when all others are nearly full, so the ramp sees no requests.

--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,281 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// build returns a service whose backend servers b0, b1, … are on VMs v0, v1, … in the data centres given as "region/dc".
+func build(floor, slots int, places ...string) *catalog.Service {
+	s := &catalog.Service{Name: "s", Floor: floor}
+	for i, place := range places {
+		vm := &catalog.VM{ID: fmt.Sprint("v", i), Locality: catalog.Locality{Region: place[:1], DataCentre: place}}
+		s.BackendServers = append(s.BackendServers, &catalog.BackendServer{ID: fmt.Sprint("b", i), Slots: slots, VM: vm})
+	}
+	return s
+}
+
+func newBalancer() *Balancer {
+	return New(Options{Locality: catalog.Locality{Region: "n", DataCentre: "n/1"}, Random: rand.NewPCG(1, 2), Now: epoch})
+}
+
+func pick(t *testing.T, b *Balancer, now time.Time, r PickRequest) Choice {
+	t.Helper()
+	c, err := b.Pick(now, r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against an uneven split among equal backend servers, and against one that does not follow latency.
+func TestDistribution(t *testing.T) {
+	svc := build(6, 5, slices.Repeat([]string{"n/1"}, 8)...)
+	b, now := newBalancer(), epoch
+	counts := map[string]int{}
+	for i := range 16000 {
+		now = now.Add(time.Millisecond)
+		c := pick(t, b, now, PickRequest{Service: svc})
+		latency := 10 * time.Millisecond
+		if c.Backend.ID == "b0" {
+			latency *= 5
+		}
+		if i >= 8000 {
+			counts[c.Backend.ID]++
+		}
+		b.Finished(now, c, Response{Latency: latency, ServiceTime: latency})
+	}
+	// Two choices give the slow one only the draws in which it is both, thus almost none; the others share evenly.
+	if counts["b0"] > 100 {
+		t.Errorf("the slow backend server got %d of 8000 requests", counts["b0"])
+	}
+	for i := 1; i < 8; i++ {
+		if n := counts[fmt.Sprint("b", i)]; n < 950 || n > 1350 {
+			t.Errorf("b%d got %d of 8000 requests: %v", i, n, counts)
+		}
+	}
+	base := b.Baseline(now, "s")
+	if base.ServiceTime != 10*time.Millisecond || base.ErrorShare != 0 || base.Members < 7 {
+		t.Errorf("baseline %v follows the slow backend server", base)
+	}
+	if back, err := ParseBaseline(base.String()); err != nil || back != base {
+		t.Errorf("baseline %v came back as %v, %v", base, back, err)
+	}
+}
+
+// Guards against a herd on a backend server that comes back: while nothing is known it gets one request at a time, and
+// while it ramps up no more than its allowed concurrency, also with many requests at once.
+func TestReturnedBackendServerGetsNoHerd(t *testing.T) {
+	svc := build(3, 100, slices.Repeat([]string{"n/1"}, 4)...)
+	b := newBalancer()
+	b.Abandoned(epoch, pick(t, b, epoch, PickRequest{Service: svc}))
+	b.Update(epoch, "s", "b0", State{Slots: 100, Mode: Ejected, Remaining: 5 * time.Second})
+	// run starts 64 requests at once and returns those of b0 before it ends them.
+	run := func(now time.Time) (n int) {
+		var wg sync.WaitGroup
+		choices := make([]Choice, 64)
+		for i := range choices {
+			wg.Go(func() {
+				c, err := b.Pick(now, PickRequest{Service: svc})
+				if err != nil {
+					t.Error(err)
+				}
+				choices[i] = c
+			})
+		}
+		wg.Wait()
+		for _, c := range choices {
+			if c.Backend.ID == "b0" {
+				n++
+			}
+			b.Finished(now, c, Response{Latency: time.Millisecond})
+		}
+		return n
+	}
+	if n := run(epoch.Add(4 * time.Second)); n != 0 {
+		t.Errorf("%d requests while ejected", n)
+	}
+	if n := run(epoch.Add(5 * time.Second)); n != 1 {
+		t.Errorf("%d requests at once on return, want 1", n)
+	}
+	b.Update(epoch.Add(6*time.Second), "s", "b0", State{Slots: 100, Allowed: 3, Mode: Ramping, Remaining: time.Second})
+	if n := run(epoch.Add(6 * time.Second)); n != 3 {
+		t.Errorf("%d requests at once while 3 are allowed", n)
+	}
+	b.Update(epoch.Add(8*time.Second), "s", "b0", State{Slots: 100, Mode: Active})
+	if n := run(epoch.Add(8 * time.Second)); n < 8 {
+		t.Errorf("%d of 64 requests when active again", n)
+	}
+}
+
+// Guards against a suspect backend server that gets its full share, and against one that gets nothing, so that the
+// suspicion is never decided.
+func TestSuspectGetsLess(t *testing.T) {
+	svc := build(3, 5, slices.Repeat([]string{"n/1"}, 4)...)
+	b, n := newBalancer(), 0
+	for i := range 4000 {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		c := pick(t, b, now, PickRequest{Service: svc})
+		if c.Backend.ID == "b0" {
+			n++
+		}
+		b.Update(now, "s", "b0", State{Slots: 5, Allowed: 2, Mode: Suspect})
+		b.Finished(now, c, Response{Latency: time.Millisecond})
+	}
+	if n < 200 || n > 800 {
+		t.Errorf("a suspect one of four got %d of 4000 requests", n)
+	}
+}
+
+// Guards against traffic that leaves the data centre, the region or the contract's permission without need.
+func TestLocalityAndSpill(t *testing.T) {
+	svc := build(1, 2, "n/1", "n/2", "s/1")
+	b := newBalancer()
+	order := func(spill bool, n int) (got []string) {
+		for range n {
+			c, err := b.Pick(epoch, PickRequest{Service: svc, Spill: spill})
+			if err != nil {
+				return append(got, errkind.Of(err).String())
+			}
+			if c.Spilled != (c.Backend.ID == "b2") {
+				t.Errorf("%s spilled = %v", c.Backend.ID, c.Spilled)
+			}
+			got = append(got, c.Backend.ID)
+			defer b.Abandoned(epoch, c)
+		}
+		return got
+	}
+	if got := order(true, 6); !slices.Equal(got, []string{"b0", "b0", "b1", "b1", "b2", "b2"}) {
+		t.Errorf("with spill: %v", got)
+	}
+	if got := order(false, 12); slices.Contains(got, "b2") || len(got) != 12 {
+		t.Errorf("without spill: %v", got)
+	}
+	for _, id := range []string{"b0", "b1"} {
+		b.Update(epoch, "s", id, State{Slots: 2, Allowed: 1, Mode: Ramping, Remaining: time.Second})
+	}
+	if got := order(false, 3); !slices.Equal(got, []string{"b0", "b1", "slots_full"}) {
+		t.Errorf("all ramping: %v", got)
+	}
+	_, err := b.Pick(epoch, PickRequest{Service: svc, Exclude: []string{"b0", "b1"}})
+	if errkind.Of(err) != errkind.NoBackend {
+		t.Errorf("all of the own region excluded: %v", err)
+	}
+}
+
+// Guards against an entry that leaves out more than the floor allows, and against putting back the wrong one.
+func TestCapPutsBackLongestOut(t *testing.T) {
+	svc := build(3, 5, slices.Repeat([]string{"n/1"}, 5)...)
+	b := newBalancer()
+	b.Abandoned(epoch, pick(t, b, epoch, PickRequest{Service: svc}))
+	for i, at := range []int{2, 0, 1} {
+		b.Update(epoch.Add(time.Duration(at)*time.Second), "s", fmt.Sprint("b", i), State{Slots: 5, Mode: Ejected, Remaining: time.Minute})
+	}
+	now := epoch.Add(3 * time.Second)
+	b.Update(now, "s", "b3", State{Slots: 5, Mode: Draining})
+	var putBack, left []string
+	for _, c := range b.Explain(now, "s") {
+		if c.PutBack {
+			putBack = append(putBack, c.Backend)
+		} else if c.LeftOut != "" {
+			left = append(left, c.Backend)
+		}
+	}
+	if !slices.Equal(putBack, []string{"b1"}) || !slices.Equal(left, []string{"b0", "b2", "b3"}) {
+		t.Errorf("put back %v, left out %v", putBack, left)
+	}
+	for range 20 {
+		c := pick(t, b, now, PickRequest{Service: svc, Exclude: []string{"b4"}})
+		if c.Backend.ID != "b1" || !c.PutBack {
+			t.Fatalf("chose %s", c.Backend.ID)
+		}
+		b.Refused(now, c, errkind.Ejected)
+	}
+}
+
+// Guards against an entry that avoids everything because its own network is broken, and against state that is kept for ever.
+func TestMostPathsFailAndExpiry(t *testing.T) {
+	svc := build(0, 50, slices.Repeat([]string{"n/1"}, 5)...)
+	b := newBalancer()
+	fail := func(n int) (open int) {
+		var exclude []string
+		for i := range 5 {
+			if i != n {
+				exclude = append(exclude, fmt.Sprint("b", i))
+			}
+		}
+		for range consecutiveFailures {
+			b.Failed(epoch, pick(t, b, epoch, PickRequest{Service: svc, Exclude: exclude}), false)
+		}
+		for _, c := range b.Explain(epoch, "s") {
+			if c.LeftOut != "" {
+				open++
+			}
+		}
+		return open
+	}
+	for i := range 5 {
+		b.Finished(epoch, pick(t, b, epoch, PickRequest{Service: svc, Exclude: slices.DeleteFunc([]string{"b0", "b1", "b2", "b3", "b4"}, func(id string) bool { return id == fmt.Sprint("b", i) })}), Response{Latency: time.Millisecond})
+	}
+	if a, c, d := fail(0), fail(1), fail(2); a != 1 || c != 2 || d != 0 {
+		t.Errorf("left out %d, %d, %d with 1, 2, 3 of 5 paths failing; want 1, 2, 0", a, c, d)
+	}
+	b.Expire(epoch.Add(expireAfter))
+	b.Expire(epoch.Add(expireAfter))
+	if services, paths := b.Sizes(); services != 0 || paths != 0 || b.paths.mostFail() || b.paths.known.Load() != 0 {
+		t.Errorf("%d services and %d paths are held without traffic", services, paths)
+	}
+}
+
+// Guards the header format against loss and against values that crash or mislead.
+func TestStateHeader(t *testing.T) {
+	s := State{InFlight: 2, Slots: 5, Allowed: 3, Mode: Ramping, Remaining: 1200 * time.Millisecond}
+	if back, err := ParseState(s.String()); err != nil || back != s {
+		t.Errorf("%v came back as %v, %v", s, back, err)
+	}
+	if got, err := ParseState("in=1;later=x;mode=napping;ms=999999999"); err != nil || got.Mode != Unknown || got.Remaining != maxRemaining {
+		t.Errorf("header of a later version: %+v, %v", got, err)
+	}
+	if _, err := ParseState("in=-1"); err == nil {
+		t.Error("negative count accepted")
+	}
+}
+
+// BenchmarkPick measures choosing and finishing on the request path.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{8, 16, 20} {
+		svc := build(n*7/10, 5, slices.Repeat([]string{"n/1", "n/2", "s/1", "s/2"}, n/4)...)
+		b.Run(fmt.Sprint("N=", n), func(b *testing.B) {
+			lb, now := newBalancer(), epoch
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Millisecond)
+				c, err := lb.Pick(now, PickRequest{Service: svc, Spill: true})
+				if err != nil {
+					b.Fatal(err)
+				}
+				lb.Finished(now, c, Response{Latency: 10 * time.Millisecond, ServiceTime: 9 * time.Millisecond})
+			}
+		})
+		b.Run(fmt.Sprint("parallel/N=", n), func(b *testing.B) {
+			lb := newBalancer()
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if c, err := lb.Pick(epoch, PickRequest{Service: svc, Spill: true}); err == nil {
+						lb.Finished(epoch, c, Response{Latency: 10 * time.Millisecond})
+					}
+				}
+			})
+		})
+	}
+}
