Give a slow backend server a quarter of an even share until it is ejected

Cause: with latency in the score a slow backend server got no requests at light load, so its home had no evidence; in the local example it was never ejected in 40 s (before the balancer it was, after 2.6 s). Ruled out: leaving latency out of the score (23% of the example's answers were late until the ejection). Change: one choice in four is random.

--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -202,6 +202,10 @@
 	return chosen{}
 }
 
+// One choice in exploreEvery is taken at random, without the comparison. A slow backend server would else get no requests at
+// all at light load, so its home would have no evidence to eject it or to see that it has recovered.
+const exploreEvery = 4
+
 // scoreMargin is how much better the second draw must be. Without it, differences of a few per cent that come from how
 // recently a mean was updated decide every comparison, and the one with the most requests gets still more.
 const scoreMargin = 0.9
@@ -213,6 +217,9 @@
 	if one != two && s.random.IntN(2) == 0 {
 		return one
 	}
+	if !one && s.random.IntN(exploreEvery) == 0 {
+		return false
+	}
 	prior := s.prior(now)
 	return second.score(now, prior) < scoreMargin*first.score(now, prior)
 }
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -20,7 +20,7 @@
 )
 
 // Programs are the programs that a fleet runs.
-var Programs = []string{"cowsliprund", "standin-platform", "standin-backend"}
+var Programs = []string{"cowsliprund", "cowslipctl", "standin-platform", "standin-backend"}
 
 // Build compiles the programs into dir. It must run inside the module.
 func Build(ctx context.Context, dir string) error {
