Allow the same loopback admin address on every VM

Cause: the admin listener is on 127.0.0.1:7002 by default, so VM documents of a whole fleet may name that address; the check of a synthetic fleet reported each of them as used twice. Peer addresses must still differ, since other daemons connect to them.

--- a/internal/contract/crosscheck.go
+++ b/internal/contract/crosscheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 
 	"github.com/cowsliprun/cowsliprun/internal/strictyaml"
 )
@@ -46,7 +47,8 @@
 			if d.PeerAddress != "" {
 				unique.claim("address "+d.PeerAddress, doc, "peerAddress", "the address %s is used twice", d.PeerAddress)
 			}
-			if d.AdminAddress != "" && d.AdminAddress != d.PeerAddress {
+			// A loopback address of an admin listener is the same on each VM. Peer listeners must be reached by others.
+			if d.AdminAddress != "" && d.AdminAddress != d.PeerAddress && !isLoopback(d.AdminAddress) {
 				unique.claim("address "+d.AdminAddress, doc, "adminAddress", "the address %s is used twice", d.AdminAddress)
 			}
 		}
@@ -54,6 +56,11 @@
 	return append(issues, unique.issues...)
 }
 
+func isLoopback(address string) bool {
+	place, err := netip.ParseAddrPort(address)
+	return err == nil && place.Addr().IsLoopback()
+}
+
 type referFunc func(doc located, path, kind, name string)
 
 func crossCheckContract(d *Contract, doc located, unique *uniqueness, refer referFunc) {
--- a/internal/contract/merge.go
+++ b/internal/contract/merge.go
@@ -9,7 +9,7 @@
 )
 
 // MaxDeleted bounds the deleted documents that are remembered per value, so that a value with ever new names does not use
-// up the memory. At 910 changes a day over 578 values it covers months.
+// up the memory. At 910 changes a day over 578 values it covers 40 days even if every change is a deletion.
 const MaxDeleted = 64
 
 // InForce is what a daemon applies of one value.
--- a/internal/contract/parse_test.go
+++ b/internal/contract/parse_test.go
@@ -47,6 +47,10 @@
 	}
 	var set Set
 	set.Add("a.yaml", data)
+	set.Add("c.yaml", []byte(`{apiVersion: cowsliprun/v1, kind: VM, vm: vm-2, generation: 1, dataCentre: rvk1, peerAddress: "10.0.0.2:7001", adminAddress: "127.0.0.1:7002"}`))
+	if issues := set.Check(); len(issues) > 0 {
+		t.Errorf("two VMs with admin listeners on loopback: %v", issues)
+	}
 	set.Add("b.yaml", []byte(strings.NewReplacer("hotel-borg", "hotel-saga", "buyer-portal", "hub").Replace(string(data))))
 	text := set.Check().Error()
 	for _, want := range []string{
