Add a measurement of control cost at the size to design for, and slot tests

Cause: CAPACITY.md needs slopes from whole daemons, not only from packages. Change: control bytes are counted on the connections; process metrics are on /metrics. Measured: slot tests pass with the race detector.

--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -5,6 +5,8 @@
 	"io"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/cowsliprun/cowsliprun/internal/admin"
 	"github.com/cowsliprun/cowsliprun/internal/audit"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
@@ -88,4 +90,7 @@
 func (o operator) Drain(operator string) { o.d.Drain("operator " + operator) }
 
 // WriteMetrics implements admin.Daemon.
-func (o operator) WriteMetrics(w io.Writer) { o.d.metrics.WritePrometheus(w) }
+func (o operator) WriteMetrics(w io.Writer) {
+	o.d.metrics.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -101,8 +101,8 @@
 	clients map[string]peerapiconnect.PeerServiceClient
 }
 
-func newPeerClients() *peerClients {
-	return &peerClients{http: &http.Client{Transport: forward.NewPeerTransport(nil)}, clients: map[string]peerapiconnect.PeerServiceClient{}}
+func newPeerClients(traffic *forward.Traffic) *peerClients {
+	return &peerClients{http: &http.Client{Transport: forward.NewPeerTransport(traffic.Dial)}, clients: map[string]peerapiconnect.PeerServiceClient{}}
 }
 
 func (p *peerClients) client(address string) peerapiconnect.PeerServiceClient {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -44,7 +44,9 @@
 	peers    *peerClients
 	platform *platformClient
 	metrics  *metrics.Set
-	started  time.Time
+	// control counts the bytes of the control messages that this daemon starts; the ones it answers are counted at the others.
+	control forward.Traffic
+	started time.Time
 
 	// published wakes the goroutine that puts applied values in force.
 	published chan struct{}
@@ -74,7 +76,7 @@
 		started: time.Now().UTC(), metrics: metrics.NewSet(), book: inforce.New(), published: make(chan struct{}, 1), askShares: make(chan struct{}, 1), drained: make(chan struct{}),
 	}
 	d.platform = newPlatformClient(s.Platform)
-	d.peers = newPeerClients()
+	d.peers = newPeerClients(&d.control)
 	d.sync = d.newRunner()
 	d.home = home.New(home.Options{VM: s.VM, Observer: d.modeChanged, Seed: d.incarnation})
 	plan := limits.Plan{Daemons: 1, RegionWeight: 1}
@@ -106,7 +108,7 @@
 	self := membership.VM{ID: d.settings.VM, DataCentre: d.settings.DataCentre, Region: d.settings.Region, Address: d.settings.Listen.Peer}
 	return configsync.New(configsync.Options{
 		Members:     membership.New(membership.Config{Self: self, Seeds: seeds, Salt: d.incarnation}),
-		Incarnation: d.incarnation, Platform: d.platform, Peers: configsync.NewClient(nil), Apply: d.apply, Seed: d.incarnation,
+		Incarnation: d.incarnation, Platform: d.platform, Peers: configsync.NewClient(d.control.Dial), Apply: d.apply, Seed: d.incarnation,
 	})
 }
 
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -23,6 +23,8 @@
 	set.NewGauge("cowslip_operation_bytes", func() float64 { return float64(d.memory.Stats().Bytes) })
 	set.NewGauge("cowslip_limits_customers", func() float64 { return float64(d.shares.Customers()) })
 	set.NewGauge("cowslip_platform_calls", func() float64 { return float64(d.platform.calls()) })
+	set.NewGauge("cowslip_control_bytes_sent", func() float64 { return float64(d.control.Sent()) })
+	set.NewGauge("cowslip_control_bytes_received", func() float64 { return float64(d.control.Received()) })
 	set.NewGauge("cowslip_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 	for mode := ejection.Warming; mode <= ejection.Draining; mode++ {
 		set.NewGauge(fmt.Sprintf(`cowslip_backend_servers{mode=%q}`, mode), func() float64 { return float64(d.countMode(mode)) })
--- /dev/null
+++ b/internal/forward/traffic.go
@@ -0,0 +1,48 @@
+package forward
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+// Traffic counts the bytes of connections, headers of HTTP included and those of TCP and IP excluded.
+type Traffic struct {
+	sent, received atomic.Uint64
+}
+
+// Sent returns the bytes written.
+func (t *Traffic) Sent() uint64 { return t.sent.Load() }
+
+// Received returns the bytes read.
+func (t *Traffic) Received() uint64 { return t.received.Load() }
+
+// Dial opens a connection whose bytes are counted.
+func (t *Traffic) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, traffic: t}, nil
+}
+
+// keepAlive is longer than the default of 15 s, because idle control connections are many and cheap to lose.
+const keepAlive = time.Minute
+
+type countedConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.traffic.received.Add(uint64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.traffic.sent.Add(uint64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/home/slots_test.go
@@ -0,0 +1,104 @@
+package home
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	_ "github.com/cowsliprun/cowsliprun/internal/rapidseed"
+	"pgregory.net/rapid"
+)
+
+// The number of requests in flight must never pass the limit, no slot may leak when waits end by time, and each wait must end
+// with a slot or an error, whatever the order of events.
+func TestSlotsAgainstRandomLoad(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		limit := rapid.IntRange(1, 4).Draw(r, "limit")
+		holds := rapid.SliceOfN(rapid.IntRange(1, 90), 1, 40).Draw(r, "holds")
+		gaps := rapid.SliceOfN(rapid.IntRange(0, 20), len(holds), len(holds)).Draw(r, "gaps")
+		synctest.Test(t, func(t *testing.T) {
+			s := newSlots(limit)
+			var mu sync.Mutex
+			var wg sync.WaitGroup
+			running, most, served, refused := 0, 0, 0, 0
+			for i, hold := range holds {
+				time.Sleep(time.Duration(gaps[i]) * time.Millisecond)
+				wg.Go(func() {
+					if s.acquire(t.Context(), i%10, 30*time.Millisecond) != nil {
+						mu.Lock()
+						refused++
+						mu.Unlock()
+						return
+					}
+					mu.Lock()
+					running++
+					served++
+					most = max(most, running)
+					mu.Unlock()
+					time.Sleep(time.Duration(hold) * time.Millisecond)
+					mu.Lock()
+					running--
+					mu.Unlock()
+					s.release()
+				})
+			}
+			wg.Wait()
+			if most > limit {
+				t.Errorf("%d requests at the same time, limit %d", most, limit)
+			}
+			if served+refused != len(holds) {
+				t.Errorf("%d served and %d refused of %d", served, refused, len(holds))
+			}
+			if inFlight, waiting, _ := s.load(); inFlight != 0 || waiting != 0 {
+				t.Errorf("%d slots and %d waiters leaked", inFlight, waiting)
+			}
+			<-s.whenIdle()
+		})
+	})
+}
+
+// A full queue must give up its lowest priority and never a higher one for it.
+func TestFullQueueShedsLowestPriority(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSlots(1)
+		if err := s.acquire(t.Context(), 5, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		results := make(chan error, 2)
+		go func() { results <- s.acquire(t.Context(), 1, time.Second) }()
+		synctest.Wait()
+		if err := s.acquire(t.Context(), 0, time.Second); errkind.Of(err) != errkind.SlotsFull {
+			t.Errorf("a lower priority got %v", err)
+		}
+		go func() { results <- s.acquire(t.Context(), 9, time.Second) }()
+		if err := <-results; errkind.Of(err) != errkind.Shed {
+			t.Errorf("the waiter of low priority got %v", err)
+		}
+		s.release()
+		if err := <-results; err != nil {
+			t.Errorf("the waiter of high priority got %v", err)
+		}
+	})
+}
+
+// A request whose deadline passes in the queue must be refused as not run and must not keep a slot.
+func TestDeadlineInQueueIsNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSlots(1)
+		if err := s.acquire(t.Context(), 5, time.Second); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+		defer cancel()
+		if err := s.acquire(ctx, 5, time.Second); errkind.Of(err) != errkind.DeadlineBeforeRun {
+			t.Errorf("got %v", err)
+		}
+		s.release()
+		if inFlight, waiting, _ := s.load(); inFlight != 0 || waiting != 0 {
+			t.Errorf("%d in flight, %d waiting", inFlight, waiting)
+		}
+	})
+}
--- a/internal/standin/fleet/daemon.go
+++ b/internal/standin/fleet/daemon.go
@@ -50,7 +50,7 @@
 		Platform: platformSettings{URLs: []string{f.PlatformURL()}},
 		Log:      settings.Log{Level: "info", Format: "logfmt"},
 	}
-	for _, other := range f.documents.VMs {
+	for _, other := range f.listed() {
 		if other.VM == vm.VM {
 			continue
 		}
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -47,6 +47,8 @@
 	// Reach returns the address at which from reaches the peer listener of the VM to, to lead traffic through a relay. It is
 	// used for seed peers only. Default: the address of the VM document.
 	Reach func(from, to contract.VM) string
+	// Peers bounds the seed peers of each daemon and the VMs that the platform lists as live. Default: all VMs.
+	Peers int
 }
 
 // Fleet is a running fleet.
@@ -156,7 +158,7 @@
 		State string `json:"state"`
 	}
 	var list []entry
-	for _, vm := range f.documents.VMs {
+	for _, vm := range f.listed() {
 		state := "live"
 		if leaving[vm.VM] {
 			state = "leaving"
@@ -171,6 +173,15 @@
 	return err
 }
 
+// listed returns the VMs that run daemons.
+func (f *Fleet) listed() []contract.VM {
+	vms := f.documents.VMs
+	if f.opts.Peers > 0 && f.opts.Peers < len(vms) {
+		return vms[:f.opts.Peers]
+	}
+	return vms
+}
+
 // StartBackend starts the stand-in of a backend server.
 func (f *Fleet) StartBackend(b contract.BackendServer) error {
 	p, err := start(b.ID, f.opts.Dir, f.program("standin-backend"), "--id", b.ID, "--listen", b.Address)
