Let a suspect backend server renew reservations until it can leave

With the rule that a suspect one grants nothing, a trial with N=8, F=6, two out and a third that becomes suspect had all three in service 2 s later, and for as long as the third stayed suspect: the two lost a reservation and the third got five of six.

A suspect one now renews what it granted before and still runs, until it holds F reservations itself; then it refuses, the others replace it, and it leaves once HeldUntil has passed. It grants nothing new. With the same trial two stay out, and up to the floor a later one gets out within the lease it granted.

Safety does not rest on the changed rule but on HeldUntil, which a renewal moves: a trial that always renews passes TestFloorHolds and fails the new test, because the later one then never gets out.

A renewal at the same instant as another one was first not recorded for its requester; the new test found it.

--- a/internal/reservation/doc.go
+++ b/internal/reservation/doc.go
@@ -16,8 +16,9 @@
 //     ClockMargin from when it received the request. Sending precedes receiving, so with clocks whose rates are each
 //     within ClockMargin of true time the grantor's end is never the earlier one. Delay, loss, duplication and
 //     reordering of messages can only lengthen the grantor's side.
-//   - The grantor's backend server goes out or is drained only after HeldUntil. It grants nothing while it wants to go
-//     out, so HeldUntil does not move while it is out.
+//   - The grantor's backend server goes out or is drained only after HeldUntil. It grants nothing while it holds enough
+//     reservations to be out, so HeldUntil does not move while it is out. Until then a suspect one renews what it granted
+//     before it was suspect, and grants nothing new.
 //   - A restarted home has lost what it granted. Requests that the earlier process granted were received before the
 //     start, so HeldUntil is at least Lease plus ClockMargin after the start. The same wait applies to a backend server
 //     that appears through a change of configuration.
--- a/internal/reservation/grantor.go
+++ b/internal/reservation/grantor.go
@@ -28,15 +28,29 @@
 	if l == nil || r.Requester == r.Grantor || l.service.Name != r.Service || l.service.Revision != r.Revision {
 		return false
 	}
-	if l.condition != Active || l.want != nil {
+	if (l.condition != Active || l.want != nil) && !m.mayRenew(now, l, r) {
 		return false
 	}
-	if until := now.Add(Lease + ClockMargin); until.After(m.granted[r.Grantor]) {
-		m.granted[r.Grantor] = until
-	}
+	// observe keeps time from going back, so this expiry is never before the one that it replaces.
+	until := now.Add(Lease + ClockMargin)
+	m.granted[r.Grantor] = until
+	m.renewable[pair{r.Grantor, r.Requester}] = until
 	return true
 }
 
+// pair names a grantor and a requester.
+type pair struct{ grantor, requester string }
+
+// mayRenew reports whether a suspect backend server renews a reservation that it granted before. It does so until it holds
+// enough reservations itself. Otherwise one more suspect than the floor allows would take its reservations away from
+// those that are out, and get nothing for it: all would return to service.
+func (m *Manager) mayRenew(now time.Time, l *local, r Reservation) bool {
+	if l.condition != Suspect || !now.Before(m.renewable[pair{r.Grantor, r.Requester}]) {
+		return false
+	}
+	return l.want == nil || !now.Before(l.want.outUntil(m.skew(now), now))
+}
+
 // HeldUntil returns the time before which the backend server must neither be ejected nor drained. It also answers for
 // backend servers that the configuration no longer has, which must be served until then.
 func (m *Manager) HeldUntil(backend string) time.Time {
@@ -73,4 +87,9 @@
 			delete(m.granted, backend)
 		}
 	}
+	for p, until := range m.renewable {
+		if !now.Before(until) {
+			delete(m.renewable, p)
+		}
+	}
 }
--- a/internal/reservation/manager.go
+++ b/internal/reservation/manager.go
@@ -59,7 +59,9 @@
 	// order lists the local backend servers by name, so that decisions don't depend on the order of the map.
 	order []string
 	// granted outlives the configuration that it was granted under.
-	granted     map[string]time.Time
+	granted map[string]time.Time
+	// renewable holds the expiry per grantor and requester.
+	renewable   map[pair]time.Time
 	nextMessage uint64
 	outstanding map[uint64]outstanding
 	drops       uint64
@@ -77,6 +79,7 @@
 		lastTick:    now,
 		locals:      map[string]*local{},
 		granted:     map[string]time.Time{},
+		renewable:   map[pair]time.Time{},
 		outstanding: map[uint64]outstanding{},
 		wall:        func(t time.Time) time.Time { return t.Round(0) },
 	}
--- a/internal/reservation/manager_test.go
+++ b/internal/reservation/manager_test.go
@@ -175,6 +175,39 @@
 	}
 }
 
+// Guards against one more suspect than the floor allows that makes all return: those that are out would lose a
+// reservation, and the new one doesn't get enough. Up to the floor, a new one gets out within the longest reservation that
+// it granted before.
+func TestOneMoreSuspectLeavesOthersOut(t *testing.T) {
+	s, homes := spread(8, 6), map[string]*Manager{}
+	var now time.Time
+	for _, b := range s.Members {
+		homes[b.VM], now = settled(b.VM, s)
+	}
+	sick := func(i int) {
+		homes[s.Members[i].VM].SetCondition(now, s.Members[i].Backend, Suspect)
+		homes[s.Members[i].VM].Want(now, s.Members[i].Backend)
+	}
+	for i := range 200 {
+		if i%50 == 0 && i < 150 {
+			sick(i / 50)
+		}
+		out := 0
+		for _, b := range s.Members {
+			for _, msg := range homes[b.VM].Tick(now) {
+				homes[b.VM].Result(now, msg.ID, homes[msg.VM].Grant(now, Lease, msg.Reservations))
+			}
+			if homes[b.VM].MayBeOut(now, b.Backend) {
+				out++
+			}
+		}
+		if i > 2 && out < 1 || i > 50+32 && out != 2 || out > 2 {
+			t.Fatalf("%d out after %d steps", out, i)
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+}
+
 // result is what one simulated ejection of k of n backend servers cost.
 type result struct {
 	allOut   time.Duration
--- a/internal/reservation/requester.go
+++ b/internal/reservation/requester.go
@@ -43,7 +43,7 @@
 	return &want{backend: backend, service: s, since: since, siblings: s.siblings(backend)}
 }
 
-// Want starts to request reservations for a local backend server. From then on it grants none.
+// Want starts to request reservations for a local backend server. From then on it grants no new ones.
 func (m *Manager) Want(now time.Time, backend string) {
 	now = m.observe(now)
 	if l := m.locals[backend]; l != nil && l.want == nil {
