limits, operation: longer leases for small limits, whole-request grants, measurements

Changes: shares of limits below 100 a second last 40 s; a share holds at least one request in a lease, its first token is paid in advance and the share is not returned before that time has passed; demand is smoothed over 3 s and jumps on clear changes; headroom is given in proportion to demand; base bucket of 3 requests; 4 demands a second per entry.

Ruled out: faster smoothing upwards than downwards. It overstated demand, and renewals came at 0.5 s instead of 3.5 s.

--- /dev/null
+++ b/cmd/measure-limits/bytes.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"github.com/cowsliprun/cowsliprun/internal/limits"
+	"github.com/cowsliprun/cowsliprun/internal/peerapi"
+)
+
+const (
+	// messageOverhead is an estimate of the HTTP/2 frames and compressed headers of one unary message on a persistent connection.
+	messageOverhead = 90
+	// sequenceBytes and heldBytes are for the fields that the protocol needs in addition: a varint each with its tag.
+	sequenceBytes = 5
+	heldBytes     = 7
+)
+
+// count adds a message to the bytes of both daemons.
+func (f *fleet) count(from, to string, n int) {
+	if f.measured {
+		f.bytes[from] += n
+		f.bytes[to] += n
+	}
+}
+
+func requestBytes(r limits.Request) int {
+	m := &peerapi.ShareRequest{Sender: &peerapi.Sender{Vm: r.Sender.VM, Incarnation: 1 << 63}, LeaseMs: uint32(limits.Lease.Milliseconds())}
+	n := messageOverhead + sequenceBytes
+	for _, d := range r.Demands {
+		m.Demands = append(m.Demands, &peerapi.Demand{Customer: d.Customer, RateMilli: d.RateMilli, Concurrency: d.Concurrency, InFlight: d.InFlight})
+		if d.HeldRateMilli > 0 {
+			n += heldBytes
+		}
+	}
+	return n + proto.Size(m)
+}
+
+func responseBytes(r limits.Response) int {
+	m := &peerapi.ShareResponse{Sender: &peerapi.Sender{Vm: vmName(0), Incarnation: 1 << 63}, NotHolder: len(r.NotHolder) > 0}
+	for _, g := range r.Grants {
+		m.Grants = append(m.Grants, &peerapi.Grant{Customer: g.Customer, RateMilli: g.RateMilli, Concurrency: g.Concurrency})
+	}
+	return messageOverhead + proto.Size(m)
+}
--- a/internal/limits/divide.go
+++ b/internal/limits/divide.go
@@ -7,8 +7,8 @@
 	headroomConcurrency = 2
 )
 
-// fairGrant returns the max-min fair grant for one want out of n. While all wants fit, it adds headroom from an equal
-// division of what is left, at most half the want plus base.
+// fairGrant returns the max-min fair grant for one want out of n. While all wants fit, it adds headroom from what is
+// left, in proportion to the want and at most half the want plus base.
 func fairGrant(part, mine, base uint64, n int, want func(int) uint64) uint64 {
 	var sum uint64
 	for i := range n {
@@ -17,7 +17,12 @@
 	if sum > part {
 		return min(mine, fairLevel(part, n, want))
 	}
-	return min(part, mine+min(mine/2+base, (part-sum)/uint64(n)))
+	if mine == 0 || sum == 0 {
+		return 0
+	}
+	// In floating point, since the product may not fit an integer.
+	rest := uint64(float64(part-sum) * float64(mine) / float64(sum))
+	return min(part, mine+min(mine/2+base, rest))
 }
 
 // fairLevel returns the max-min fair level for wants that add up to more than part: each asker gets at most the level, and
--- a/internal/limits/doc.go
+++ b/internal/limits/doc.go
@@ -6,17 +6,25 @@
 //
 // # Leases
 //
-// A share ends one lease after the entry sent its request; the holder counts it from when it received the request, with a margin
-// for clock rates, so the holder's end is never earlier. Requests of an entry carry a sequence number. An entry accepts only
-// the response to its latest request about a customer, and tells the holder in each request what it holds. The holder
-// ignores requests that arrive out of order, so a returned or reduced share is free as soon as the holder learns of it.
+// A share lasts 5 s for limits of 100 requests a second and more, and 40 s below (LeaseOf). It ends one lease after the entry sent its
+// request; the holder counts it from when it received the request, with a margin for clock rates, so the holder's end is
+// never earlier. Requests of an entry carry a sequence number. An entry accepts only the response to its latest request
+// about a customer, and tells the holder in each request what it holds. The holder ignores requests that arrive out of
+// order, so a returned or reduced share is free as soon as the holder learns of it.
+//
+// Whatever the daemons' views are, one holder never lets more than the part be used. While two daemons both take themselves for
+// the holder, at most two parts are in use. A contract that turns a small limit into a large one shortens the wait of a new
+// holder, so shares of the earlier holder may add to the part for at most 40 s after such a change.
+//
+// A share starts with one token, paid in advance from its rate, and its bucket holds the part of the contract's burst that the share is of
+// the rate, at least one request. So n entries with shares admit at most the part, the burst and n requests at once.
 //
 // # Base allowance
 //
-// An entry without a share admits requests from a bucket of one token, refilled at its part of the reserved tenth times
-// Plan.BaseFactor. The factor saves messages for customers whose traffic is spread thinly over many entries. A fleet
-// of N daemons admits at most N requests at once and BaseFactor/10 of the rate in the long run from base allowances, on top of nine
-// tenths of the rate from shares.
+// An entry without a share admits requests from a small bucket, refilled at its part of the reserved tenth times
+// Plan.BaseFactor. Factor and bucket size save messages for customers whose traffic is spread thinly over many entries. In a
+// fleet of N daemons base allowances admit at most N times Plan.BaseBurst requests at once and BaseFactor/10 of the rate
+// in the long run, on top of nine tenths of the rate from shares.
 //
 // # Concurrency
 //
--- a/internal/limits/grant.go
+++ b/internal/limits/grant.go
@@ -27,8 +27,8 @@
 	g.wantRate, g.wantConcurrency, g.inFlight = d.RateMilli, uint64(d.Concurrency), uint64(d.InFlight)
 }
 
-func (g *grant) renew(now time.Time, rate, concurrency uint64) {
-	g.grantedRate, g.grantedConcurrency, g.until = rate, concurrency, now.Add(holderLease)
+func (g *grant) renew(until time.Time, rate, concurrency uint64) {
+	g.grantedRate, g.grantedConcurrency, g.until = rate, concurrency, until
 }
 
 // rate returns what the sender may use at most.
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -12,6 +12,8 @@
 	maxGrants = 100_000
 	// maxViews bounds the earlier views that a holder remembers. With more changes in one lease it waits as after a start.
 	maxViews = 8
+	// sweepInterval is how often ended grants of idle customers are removed.
+	sweepInterval = 5 * time.Second
 )
 
 // Holder grants shares of the region's part. It is safe for concurrent use.
@@ -19,7 +21,7 @@
 	mu        sync.Mutex
 	self      string
 	plan      Plan
-	readyAt   time.Time
+	started   time.Time
 	view      *View
 	earlier   []earlierView
 	version   uint64
@@ -30,8 +32,8 @@
 }
 
 type earlierView struct {
-	view  *View
-	until time.Time
+	view *View
+	left time.Time
 }
 
 // sender is one process that asks for shares.
@@ -51,7 +53,7 @@
 // NewHolder returns a holder that starts to grant one lease after now: until then, shares of an earlier process may be in
 // use.
 func NewHolder(now time.Time, self string, plan Plan) *Holder {
-	return &Holder{self: self, plan: plan, readyAt: now.Add(holderLease), view: NewView(nil),
+	return &Holder{self: self, plan: plan, started: now, view: NewView(nil),
 		customers: map[string]*held{}, senders: map[Sender]*sender{}, swept: now}
 }
 
@@ -63,9 +65,9 @@
 		return
 	}
 	if len(h.earlier) == maxViews {
-		h.readyAt, h.earlier = now.Add(holderLease), nil
+		h.started, h.earlier = now, nil
 	} else {
-		h.earlier = append(h.earlier, earlierView{h.view, now.Add(holderLease)})
+		h.earlier = append(h.earlier, earlierView{h.view, now})
 	}
 	h.view = v
 	h.version++
@@ -100,7 +102,7 @@
 			continue
 		}
 		c := h.customers[d.Customer]
-		if !h.isHolder(now, d.Customer, c) {
+		if !h.isHolder(now, d.Customer, c, holderLease(l)) {
 			out.NotHolder = append(out.NotHolder, d.Customer)
 			continue
 		}
@@ -115,8 +117,8 @@
 }
 
 // isHolder reports whether this daemon is the holder in the current view and in each view of the last lease.
-func (h *Holder) isHolder(now time.Time, customer string, c *held) bool {
-	if now.Before(h.readyAt) {
+func (h *Holder) isHolder(now time.Time, customer string, c *held, lease time.Duration) bool {
+	if now.Sub(h.started) < lease {
 		return false
 	}
 	if c != nil && c.version == h.version && len(h.earlier) == 0 {
@@ -124,7 +126,7 @@
 	}
 	holder := h.view.Holder(customer) == h.self
 	for _, e := range h.earlier {
-		holder = holder && e.view.Holder(customer) == h.self
+		holder = holder && (now.Sub(e.left) >= lease || e.view.Holder(customer) == h.self)
 	}
 	if c != nil && len(h.earlier) == 0 {
 		c.version, c.holder = h.version, holder
@@ -139,7 +141,7 @@
 	}
 	g.report(d)
 	rates, concurrencies := h.plan.RatePart(l), uint64(h.plan.ConcurrencyPart(l))
-	n := len(c.grants)
+	n, least := len(c.grants), leastRate(l)
 	var usedRate, usedConcurrency uint64
 	for _, other := range c.grants {
 		if other != g {
@@ -154,10 +156,15 @@
 	} else {
 		// With more askers than slots the fair grant is 0. One slot at a time then goes to whoever asks while one is free.
 		concurrency = max(1, concurrency)
+		rate = max(rate, min(least, rates))
 	}
 	rate = min(rate, available(rates, usedRate))
+	// A smaller share would never let a request pass. What is left goes to whoever asks when enough of it is free.
+	if rate < min(least, rates) {
+		rate = 0
+	}
 	concurrency = min(concurrency, available(concurrencies, usedConcurrency))
-	g.renew(now, rate, concurrency)
+	g.renew(now.Add(holderLease(l)), rate, concurrency)
 	return rate, uint32(concurrency)
 }
 
@@ -198,12 +205,12 @@
 	c.grants = kept
 }
 
-// expire removes views, customers and senders that no longer matter. Customers and senders are swept once a lease.
+// expire removes views, customers and senders that no longer matter. Customers and senders are swept every sweepInterval.
 func (h *Holder) expire(now time.Time) {
-	for len(h.earlier) > 0 && !now.Before(h.earlier[0].until) {
+	for len(h.earlier) > 0 && now.Sub(h.earlier[0].left) >= maxHolderLease {
 		h.earlier = h.earlier[1:]
 	}
-	if now.Sub(h.swept) < holderLease {
+	if now.Sub(h.swept) < sweepInterval {
 		return
 	}
 	h.swept = now
@@ -214,7 +221,7 @@
 	}
 	for from, s := range h.senders {
 		// All grants of the sender have ended by then, so a late request can only cause a grant that nobody uses.
-		if now.Sub(s.seen) > 2*holderLease {
+		if now.Sub(s.seen) > 2*maxHolderLease {
 			delete(h.senders, from)
 		}
 	}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -15,7 +15,7 @@
 var (
 	testTime = time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
 	acme     = &catalog.Customer{Name: "acme", Generation: 3, Limits: contract.Limits{RatePerSecond: 100, Concurrency: 50}}
-	onePlan  = Plan{Daemons: 10, RegionWeight: 1, BaseFactor: 1}
+	onePlan  = Plan{Daemons: 10, RegionWeight: 1, BaseFactor: 1, BaseBurst: 1}
 )
 
 func limitsOf(string) (contract.Limits, bool) { return acme.Limits, true }
@@ -94,7 +94,7 @@
 	for i, c := range []struct {
 		after time.Duration
 		want  int
-	}{{0, 0}, {Lease, 0}, {holderLease, 1}} {
+	}{{0, 0}, {Lease, 0}, {holderLease(acme.Limits), 1}} {
 		r := h.Handle(testTime.Add(c.after), ask("e", uint64(i+1), Demand{RateMilli: 1000}), limitsOf)
 		if len(r.Grants) != c.want || len(r.NotHolder) != 1-c.want {
 			t.Errorf("after %s: %+v", c.after, r)
@@ -157,7 +157,7 @@
 	h := readyHolder("h", "h")
 	h.Handle(testTime, ask("e1", 1, Demand{RateMilli: 1}), limitsOf)
 	for i := range 4 {
-		h.Handle(testTime.Add(time.Duration(i+1)*holderLease), Request{Sender: Sender{"e2", 1}, Sequence: uint64(i + 1)}, limitsOf)
+		h.Handle(testTime.Add(time.Duration(i+1)*maxHolderLease), Request{Sender: Sender{"e2", 1}, Sequence: uint64(i + 1)}, limitsOf)
 	}
 	if s := h.Stats(); s != (HolderStats{Senders: 1}) {
 		t.Errorf("%+v", s)
@@ -191,7 +191,7 @@
 
 // A share must end one lease after its request was sent, also when the wall clock shows a suspension.
 func TestShareEnds(t *testing.T) {
-	s := share{holder: "h", sent: testTime, wallSent: testTime}
+	s := share{holder: "h", sent: testTime, wallSent: testTime, lease: Lease}
 	for _, c := range []struct {
 		after time.Duration
 		want  bool
@@ -223,3 +223,72 @@
 		}
 	}
 }
+
+// A share too small for one request in its lease would never admit any, and many entries of a small customer would all starve.
+func TestSmallPartIsGrantedInWholeRequests(t *testing.T) {
+	h := readyHolder("h", "h")
+	usable, sum := 0, uint64(0)
+	for i := range 2000 {
+		r := rateOf(t, h.Handle(testTime, ask(fmt.Sprint("e", i), 1, Demand{RateMilli: 5000, Concurrency: 1}), limitsOf))
+		if sum += r; r > 0 {
+			usable++
+		}
+		if r > 0 && r < leastRate(acme.Limits) {
+			t.Fatalf("grant of %d/1000 a second is below one request in a lease", r)
+		}
+	}
+	if usable < 10 || sum > onePlan.RatePart(acme.Limits) {
+		t.Errorf("%d usable grants, %d in sum", usable, sum)
+	}
+}
+
+// The first token of a share is paid in advance. An entry that returned the share before its time would get a second one.
+func TestAdvanceTokenIsPaid(t *testing.T) {
+	small := &catalog.Customer{Name: "small", Generation: 1, Limits: contract.Limits{RatePerSecond: 1, Concurrency: 10}}
+	u := NewUser(testTime, Sender{"e", 1}, onePlan)
+	u.SetView(NewView([]string{"h"}))
+	u.Admit(testTime, small)
+	u.Admit(testTime, small)
+	out := u.Tick(testTime.Add(TickInterval))
+	if len(out) != 1 {
+		t.Fatalf("%d requests for shares", len(out))
+	}
+	u.Apply(testTime.Add(TickInterval), out[0], Response{Grants: []Grant{{"small", 100, 5}}})
+	admitted := 0
+	for i := range 99 {
+		now := testTime.Add(time.Duration(i+1) * TickInterval)
+		if u.Admit(now, small).OK {
+			admitted++
+			u.Release("small")
+		}
+		for _, o := range u.Tick(now) {
+			if o.Request.Demands[0].RateMilli == 0 {
+				t.Fatalf("share returned after %s", now.Sub(testTime))
+			}
+		}
+	}
+	if admitted != 1 {
+		t.Errorf("%d requests admitted in 9.9 s by a share of one in 10 s", admitted)
+	}
+}
+
+// Requests in flight that outlive their share must be reported and must keep new ones out.
+func TestInFlightOutlivesShare(t *testing.T) {
+	u := NewUser(testTime, Sender{"e", 1}, onePlan)
+	u.SetView(NewView([]string{"h"}))
+	u.Admit(testTime, acme)
+	u.Admit(testTime, acme)
+	out := u.Tick(testTime.Add(TickInterval))
+	u.Apply(testTime.Add(TickInterval), out[0], Response{Grants: []Grant{{"acme", 90000, 10}}})
+	for i := range 20 {
+		u.Admit(testTime.Add(TickInterval+time.Duration(i)*100*time.Millisecond), acme)
+	}
+	late := testTime.Add(2 * Lease)
+	if d := u.Admit(late, acme); d.OK || d.Err.Kind != errkind.ConcurrencyLimited {
+		t.Errorf("request admitted beside 11 that outlive their share: %+v", d)
+	}
+	out = u.Tick(late)
+	if len(out) != 1 || out[0].Request.Demands[0].InFlight != 11 {
+		t.Errorf("requests in flight are not reported: %+v", out)
+	}
+}
--- a/internal/limits/plan.go
+++ b/internal/limits/plan.go
@@ -8,18 +8,43 @@
 )
 
 const (
-	// Lease is how long a share is valid.
+	// Lease is how long a share of a large limit is valid.
 	Lease = 5 * time.Second
-	// holderLease is how long a holder counts a grant. The margin covers clocks whose rates differ by up to 1%.
-	holderLease = Lease + Lease/50
+	// SmallLease is how long a share of a small limit is valid. A daemon has few requests a second of each of many small customers,
+	// each with another holder: with the short lease their renewals alone would exceed the control budget.
+	SmallLease = 40 * time.Second
+	// smallLimit is the rate below which a limit is small, in requests a second.
+	smallLimit = 100
+	// maxHolderLease is the longest time for which a holder counts a grant.
+	maxHolderLease = SmallLease + SmallLease/50
 	// BaseReserve is the part of each limit that is reserved for base allowances.
 	BaseReserve = 0.1
-	// DefaultBaseFactor is chosen by the table in docs/limits.md.
+	// DefaultBaseFactor and DefaultBaseBurst are chosen by the table in docs/limits.md.
 	DefaultBaseFactor = 4
+	DefaultBaseBurst  = 3
 	// baseConcurrency is the number of requests in flight that an entry admits without a share.
 	baseConcurrency = 1
 )
 
+// LeaseOf returns how long a share of the limits is valid, counted by the entry from when it sent its request.
+func LeaseOf(l contract.Limits) time.Duration {
+	if l.RatePerSecond < smallLimit {
+		return SmallLease
+	}
+	return Lease
+}
+
+// holderLease is how long a holder counts a grant. The margin covers clocks whose rates differ by up to 1%.
+func holderLease(l contract.Limits) time.Duration {
+	lease := LeaseOf(l)
+	return lease + lease/50
+}
+
+// leastRate is the smallest rate that is of use as a share: one request in a lease, in thousandths of a request a second.
+func leastRate(l contract.Limits) uint64 {
+	return uint64(time.Second * 1000 / LeaseOf(l))
+}
+
 // Plan divides limits among regions and daemons. It comes from the configured list of VMs, not from the list of live ones, so that
 // regions that lose each other keep their parts.
 type Plan struct {
@@ -29,6 +54,8 @@
 	RegionWeight float64
 	// BaseFactor multiplies the base allowance. 0 selects DefaultBaseFactor.
 	BaseFactor float64
+	// BaseBurst is the size of the base allowance's token bucket in requests. 0 selects DefaultBaseBurst.
+	BaseBurst float64
 }
 
 // RatePart returns what the region's holder may grant, in thousandths of a request a second.
@@ -51,6 +78,13 @@
 	return l.RatePerSecond * BaseReserve * factor / float64(max(p.Daemons, 1))
 }
 
+func (p Plan) baseBurst() float64 {
+	if p.BaseBurst == 0 {
+		return DefaultBaseBurst
+	}
+	return p.BaseBurst
+}
+
 // burst returns the size of an entry's token bucket for a share.
 func burst(l contract.Limits, rateMilli uint64) float64 {
 	size := float64(l.Burst)
--- a/internal/limits/state.go
+++ b/internal/limits/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
@@ -39,6 +40,7 @@
 	concurrency uint32
 	// sent is when the request was sent. wallSent is the same without the monotonic reading.
 	sent, wallSent time.Time
+	lease          time.Duration
 	used           bucket
 }
 
@@ -48,9 +50,13 @@
 		return false
 	}
 	elapsed, wall := now.Sub(s.sent), now.Round(0).Sub(s.wallSent)
-	return elapsed >= 0 && elapsed < Lease && wall >= 0 && wall < Lease
+	return elapsed >= 0 && elapsed < s.lease && wall >= 0 && wall < s.lease
 }
 
+// paid reports whether the time of the token that was paid in advance has passed. Until then the share is not returned: with one token
+// for each return and new grant, entries would admit more than the part.
+func (s *share) paid(now time.Time) bool { return !now.Before(s.used.last) }
+
 // state is what an entry knows about an active customer.
 type state struct {
 	name   string
@@ -72,6 +78,8 @@
 	sampled time.Time
 	// rate is the smoothed demand in requests a second, refused requests included.
 	rate float64
+	// fast is the same with shorter smoothing.
+	fast float64
 	// quiet is the time since the last sample with requests, in seconds.
 	quiet float64
 
@@ -81,7 +89,7 @@
 	want     Demand
 	// cut is true when the last grant was below what was wanted.
 	cut bool
-	// cutRetry is when to ask again after a grant below the demand. It grows up to the time of a renewal.
+	// cutRetry is when to ask again after a grant below half the demand. It grows up to the time of a renewal.
 	cutRetry time.Duration
 	// lastPeak is the peak of earlier samples, decaying by an eighth per sample.
 	lastPeak uint32
@@ -100,7 +108,7 @@
 }
 
 // admit decides about one request.
-func (s *state) admit(now time.Time, baseRate float64) Decision {
+func (s *state) admit(now time.Time, plan Plan) Decision {
 	s.seen++
 	s.peak = max(s.peak, s.inFlight+1)
 	allowed := uint32(baseConcurrency)
@@ -109,7 +117,7 @@
 		allowed += s.share.concurrency
 		s.share.used.fill(now, float64(s.share.rateMilli)/1000, burst(s.limits, s.share.rateMilli))
 	}
-	s.base.fill(now, baseRate, 1)
+	s.base.fill(now, plan.BaseRate(s.limits), plan.baseBurst())
 	if s.inFlight >= allowed {
 		// Refused requests show that more are wanted, but some of them repeat. The bound doubles the demand from one request to the holder to the next.
 		s.refused++
@@ -139,8 +147,17 @@
 // at which ten requests are expected in more than that, so that random arrivals seldom cause it.
 const minQuiet = 200 * time.Millisecond
 
-// sample updates the demand. It rises within 0.3 s. It falls within the time of about 20 requests, so that an entry gives up a
-// large share fast when its traffic moves away, and a small one does not follow each gap between requests.
+const (
+	// steadySmoothing is the time constant of the demand while it changes little. Shorter ones follow random arrivals: the share is then
+	// too small until the next renewal, or holds what another entry lacks.
+	steadySmoothing = 3.0
+	// steadyBand is the relative difference between the fast and the steady demand that counts as a change. Over 20 requests, random
+	// arrivals differ by 16% in the standard deviation.
+	steadyBand = 0.5
+)
+
+// sample updates the demand. It keeps a fast one, smoothed over the time of about 20 requests, and a steady one that jumps to the fast
+// one when they differ clearly, so that traffic that moves between entries takes its share along.
 func (s *state) sample(now time.Time) {
 	d := now.Sub(s.sampled)
 	if d <= 0 {
@@ -148,16 +165,16 @@
 	}
 	seconds := d.Seconds()
 	current := float64(s.seen) / seconds
-	fall := min(max(20/s.rate, 0.3), 1.5)
-	if current < s.rate {
-		s.rate += (current - s.rate) * min(1, seconds/fall)
-	} else {
-		s.rate += (current - s.rate) * min(1, seconds/0.3)
+	smoothing := min(max(20/max(s.fast, current), 0.3), 1.5)
+	s.fast += (current - s.fast) * min(1, seconds/smoothing)
+	s.rate += (current - s.rate) * min(1, seconds/steadySmoothing)
+	if diff := math.Abs(s.fast - s.rate); diff > steadyBand*s.rate+1 {
+		s.rate = s.fast
 	}
 	if s.seen > 0 {
 		s.quiet = 0
 	} else if s.quiet += seconds; s.quiet >= max(minQuiet.Seconds(), 10/s.rate) {
-		s.rate = 0
+		s.rate, s.fast = 0, 0
 	}
 	s.lastPeak = max(s.peak, s.lastPeak-min(s.lastPeak, s.lastPeak/8+1))
 	s.seen, s.refused, s.peak, s.sampled = 0, 0, s.inFlight, now
@@ -175,41 +192,41 @@
 	shared := s.share.valid(now)
 	idle := s.rate*Lease.Seconds() < 0.5 && s.inFlight <= baseConcurrency || s.rate < baseRate/2 && s.lastPeak <= baseConcurrency
 	switch {
-	case idle && shared && s.share.rateMilli > 0 && since >= returnAfter:
+	case idle && shared && s.share.rateMilli > 0 && since >= returnAfter && s.share.paid(now):
 		d.RateMilli, d.Concurrency = 0, 0
 		return d, true, true
 	case idle:
 		return d, false, shared
 	case !shared && (s.asked.IsZero() || since >= retryUnshared):
 		return d, true, true
-	case shared && since >= Lease/2:
+	case shared && since >= renewAfter(s.share.lease):
 		return d, true, true
-	case shared && since >= correctAfter && s.off(d):
+	case shared && since >= correctAfter && s.off(now, d):
 		return d, true, true
-	case shared && s.cut && since >= s.cutRetry:
+	case shared && s.cut && since >= s.cutRetry && s.share.rateMilli*2 < d.RateMilli:
 		return d, true, true
 	}
 	return d, false, true
 }
 
 // off reports whether the share differs from the demand by so much that the next renewal would be late.
-func (s *state) off(d Demand) bool {
+func (s *state) off(now time.Time, d Demand) bool {
 	grow := d.RateMilli > s.share.rateMilli && d.RateMilli > s.want.RateMilli*5/4 ||
 		d.Concurrency > s.share.concurrency && d.Concurrency > s.want.Concurrency*5/4
-	return grow || s.oversized(d)
+	return grow || s.oversized(now, d)
 }
 
-func (s *state) oversized(d Demand) bool {
-	return d.RateMilli*3 < s.share.rateMilli && s.share.rateMilli > 2*headroomRateMilli
+func (s *state) oversized(now time.Time, d Demand) bool {
+	return d.RateMilli*3 < s.share.rateMilli && s.share.rateMilli > 2*headroomRateMilli && s.share.paid(now)
 }
 
 // giveUp reduces an oversized share before the holder is asked, so that the holder can grant the difference at once instead of after the
 // next request.
-func (s *state) giveUp(d Demand) {
+func (s *state) giveUp(now time.Time, d Demand) {
 	switch {
 	case d.RateMilli == 0:
 		s.share = share{}
-	case s.oversized(d):
+	case s.oversized(now, d):
 		s.share.rateMilli = d.RateMilli*3/2 + headroomRateMilli
 	}
 }
--- a/internal/limits/user.go
+++ b/internal/limits/user.go
@@ -25,9 +25,9 @@
 	returnAfter = time.Second
 
 	shardCount = 64
-	// AsksPerSecond bounds the demands that an entry sends, in the mean and for all customers together. With about 35 B a demand and 25 B
-	// a grant it keeps shares within a third of the control budget of 4 KB a second.
-	AsksPerSecond = 16
+	// AsksPerSecond bounds the demands that an entry sends, in the mean and for all customers together. A demand alone in its message
+	// costs about 275 B with its response, at the entry and again at a holder, so 4 a second cost a daemon 2.2 KB a second.
+	AsksPerSecond = 4
 	// askBurst is the number of demands that may leave at once.
 	askBurst = 64
 )
@@ -107,11 +107,11 @@
 	sh.mu.Lock()
 	s := sh.states[c.Name]
 	if s == nil {
-		s = &state{name: c.Name, base: bucket{tokens: 1, last: now}, sampled: now}
+		s = &state{name: c.Name, base: bucket{tokens: sh.plan.baseBurst(), last: now}, sampled: now}
 		sh.states[c.Name] = s
 	}
 	s.setContract(c)
-	d := s.admit(now, sh.plan.BaseRate(c.Limits))
+	d := s.admit(now, sh.plan)
 	add := !d.OK && !s.wanted
 	if add {
 		s.wanted = true
@@ -178,7 +178,7 @@
 	if !u.budget.take() {
 		return true, true
 	}
-	s.giveUp(d)
+	s.giveUp(now, d)
 	if s.share.valid(now) && s.share.holder == holder {
 		d.HeldRateMilli, d.HeldConcurrency = s.share.rateMilli, s.share.concurrency
 	}
@@ -218,18 +218,24 @@
 	}
 	s.cut = g.RateMilli < s.want.RateMilli || g.Concurrency < s.want.Concurrency
 	if s.cut {
-		s.cutRetry = min(max(s.cutRetry*5/4, firstCutRetry), Lease/2)
+		s.cutRetry = min(max(s.cutRetry*2, firstCutRetry), renewAfter(LeaseOf(s.limits)))
 	} else {
 		s.cutRetry = 0
 	}
-	used := bucket{last: now}
-	if s.share.valid(now) {
+	next := share{holder: holder, rateMilli: g.RateMilli, concurrency: g.Concurrency, sent: s.asked, wallSent: s.asked.Round(0), lease: LeaseOf(s.limits)}
+	if s.share.valid(now) && s.share.rateMilli > 0 {
 		s.share.used.fill(now, float64(s.share.rateMilli)/1000, burst(s.limits, s.share.rateMilli))
-		used = s.share.used
+		next.used = s.share.used
+	} else if g.RateMilli > 0 {
+		// The first token is paid in advance: the bucket fills only after the time that the token takes at this rate.
+		next.used = bucket{tokens: 1, last: now.Add(time.Duration(1000 / float64(g.RateMilli) * float64(time.Second)))}
 	}
-	s.share = share{holder: holder, rateMilli: g.RateMilli, concurrency: g.Concurrency, sent: s.asked, wallSent: s.asked.Round(0), used: used}
+	s.share = next
 }
 
+// renewAfter is when a share that fits is renewed. It leaves time for more tries within the lease.
+func renewAfter(lease time.Duration) time.Duration { return lease * 7 / 10 }
+
 // sweep forgets the customers of one shard that are idle and whose base allowance is full again, so that forgetting gives
 // nothing away.
 func (u *User) sweep(now time.Time, sh *shard) {
@@ -239,7 +245,7 @@
 		if s.wanted || s.inFlight > 0 || s.share.valid(now) {
 			continue
 		}
-		if s.base.fill(now, sh.plan.BaseRate(s.limits), 1); s.base.tokens >= 1 {
+		if s.base.fill(now, sh.plan.BaseRate(s.limits), sh.plan.baseBurst()); s.base.tokens >= sh.plan.baseBurst() {
 			delete(sh.states, name)
 		}
 	}
