Test configsync against arbitrary faults; keep reading after a bad answer

A state machine over the decisions (1 to 7 daemons) found a fault: a stale platform answered "not found" for a value that it had listed when it was fresh, the value was dropped for good, and a single daemon never became ready. Changed: a value that cannot be read goes to the end of the order, is left after three tries, and everything is listed again after a minute. Writers and readers of gzip are kept. Ruled out: taking "not found" as deletion; the design deletes by a bucket without the document.

--- a/internal/configsync/reading.go
+++ b/internal/configsync/reading.go
@@ -33,8 +33,11 @@
 	// firstBackoff and lastBackoff bound the doubling wait after failed calls.
 	firstBackoff = time.Second
 	lastBackoff  = 16 * time.Second
-	// maxStaleReads of one value before its change is left to the next list.
-	maxStaleReads = 3
+	// maxBadReads of one value, stale or not usable, before it is left to a later list. It must not hold up the others.
+	maxBadReads = 3
+	// relistAfter is the wait until all is listed again after a value was left. A stale platform may say that it has no such
+	// value, so no answer is final.
+	relistAfter = time.Minute
 	// idlePause is the longest time until a daemon looks again whether it is a reader.
 	idlePause = time.Second
 )
@@ -68,9 +71,12 @@
 	cursor, target uint64
 	listAll        bool
 	// toRead maps names to the revisions that the platform listed, order is the order of reading.
-	toRead     map[string]uint64
-	order      []string
-	staleReads map[string]int
+	toRead   map[string]uint64
+	order    []string
+	badReads map[string]int
+	// left holds the revisions of the values left to a later list, at relistAt.
+	left     map[string]uint64
+	relistAt time.Time
 
 	nextCall   time.Time
 	nextBudget time.Time
@@ -86,7 +92,7 @@
 
 func newReadState(now time.Time, random *rand.Rand) readState {
 	return readState{
-		listAll: true, toRead: map[string]uint64{}, staleReads: map[string]int{}, startCalls: startCalls,
+		listAll: true, toRead: map[string]uint64{}, badReads: map[string]int{}, left: map[string]uint64{}, startCalls: startCalls,
 		nextBudget: now.Add(budgetInterval), jitter: time.Duration(random.Int64N(int64(fallbackJitter))),
 	}
 }
@@ -97,6 +103,9 @@
 	if now.Before(r.nextCall) {
 		return Step{Kind: StepWait, Wait: min(r.nextCall.Sub(now), idlePause)}
 	}
+	if !r.relistAt.IsZero() && !now.Before(r.relistAt) {
+		r.listAll, r.relistAt = true, time.Time{}
+	}
 	reader := s.members.IsReader(now)
 	name := s.nextName()
 	switch {
@@ -158,7 +167,7 @@
 func (s *Syncer) dropRead(name string) {
 	r := &s.read
 	delete(r.toRead, name)
-	delete(r.staleReads, name)
+	delete(r.badReads, name)
 	r.order = slices.DeleteFunc(r.order, func(n string) bool { return n == name })
 }
 
@@ -240,29 +249,43 @@
 
 // ValueDone takes the answer to StepValue and returns the number of new values stored.
 func (s *Syncer) ValueDone(now time.Time, step Step, v platform.Value, err error) int {
-	r := &s.read
-	if permanent(err) {
+	if concernsValue(err) {
 		s.callDone(now, nil)
-		s.cfg.Emit(Event{At: now, Kind: EventRefused, Name: step.Name, To: r.toRead[step.Name], Source: SourcePlatform, Reason: err.Error()})
-		s.dropRead(step.Name)
+		s.badRead(now, step.Name, err.Error())
 		return 0
 	}
 	if !s.callDone(now, err) {
 		return 0
 	}
-	if v.Revision < r.toRead[step.Name] {
-		r.staleReads[step.Name]++
-		r.nextCall = now.Add(behindPause)
-		if r.staleReads[step.Name] >= maxStaleReads {
-			s.dropRead(step.Name)
-			r.listAll = true
+	stored := s.Receive(now, SourcePlatform, []Value{{Revision{Name: v.Name, Revision: v.Revision}, Compress(v.Data)}})
+	if wanted := s.read.toRead[step.Name]; s.store.Revision(step.Name) < wanted {
+		s.badRead(now, step.Name, fmt.Sprintf("the platform listed revision %d and answers %d", wanted, v.Revision))
+	}
+	return stored
+}
+
+// badRead puts a value at the end of the order, and leaves it to a later list when that happens again and again.
+func (s *Syncer) badRead(now time.Time, name, reason string) {
+	r := &s.read
+	wanted, bad := r.toRead[name], r.badReads[name]+1
+	s.dropRead(name)
+	if bad < maxBadReads {
+		r.toRead[name], r.badReads[name] = wanted, bad
+		r.order = append(r.order, name)
+		if len(r.order) == 1 {
+			r.nextCall = now.Add(behindPause)
 		}
+		return
+	}
+	r.relistAt = now.Add(relistAfter)
+	if r.left[name] != wanted {
+		r.left[name] = wanted
+		s.cfg.Emit(Event{At: now, Kind: EventRefused, Name: name, From: s.store.Revision(name), To: wanted, Source: SourcePlatform, Reason: reason})
 	}
-	return s.Receive(now, SourcePlatform, []Value{{Revision{Name: v.Name, Revision: v.Revision}, Compress(v.Data)}})
 }
 
-// permanent reports whether the same call would fail again until the value changes.
-func permanent(err error) bool {
+// concernsValue reports whether an error is about the value rather than the platform.
+func concernsValue(err error) bool {
 	return platform.IsKind(err, platform.NotFound) || platform.IsKind(err, platform.TooLarge) || platform.IsKind(err, platform.Malformed)
 }
 
--- /dev/null
+++ b/internal/configsync/scenario_test.go
@@ -0,0 +1,181 @@
+package configsync
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/membership"
+	"github.com/cowsliprun/cowsliprun/internal/platform"
+	"pgregory.net/rapid"
+)
+
+// Guards against a restarted daemon that serves what a stale platform supplies although its peers hold newer values.
+func TestRestartNextToStalePlatformAsksPeers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.IntRange(4, 7).Draw(t, "n"), rapid.Uint64Range(0, 1<<32).Draw(t, "seed"))
+		m.platform.put("contracts/000", "new")
+		m.run(t, 20*time.Second)
+		m.platform.upTo = rapid.Uint64Range(4, 5).Draw(t, "upTo")
+		m.platform.down = rapid.Bool().Draw(t, "down")
+		d := m.daemons[rapid.IntRange(0, len(m.daemons)-1).Draw(t, "daemon")]
+		m.restart(d)
+		for range 100 {
+			m.run(t, 200*time.Millisecond)
+			if !d.ready {
+				continue
+			}
+			if got := d.syncer.InForce("contracts/000"); got != 5 {
+				t.Fatalf("serves contracts/000 at %d", got)
+			}
+			if n := len(d.syncer.start.answered); n < 3 {
+				t.Fatalf("serves after %d peers answered", n)
+			}
+			return
+		}
+		_, why := d.syncer.Ready(m.now)
+		t.Fatalf("not ready after 20 s: %s", why)
+	})
+}
+
+// Guards against a reader that waits for a restored platform to pass its own cursor and misses what changes before.
+func TestRestoredPlatformIsReadBelowTheCursor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.IntRange(1, 4).Draw(t, "n"), rapid.Uint64Range(0, 1<<32).Draw(t, "seed"))
+		var behind, caughtUp int
+		for range 4 {
+			m.platform.put("contracts/000", "lost by the restore")
+		}
+		m.run(t, 20*time.Second)
+		m.daemons[0].syncer.cfg.Emit = func(e Event) {
+			switch e.Kind {
+			case EventPlatformBehind:
+				behind++
+			case EventPlatformCaughtUp:
+				caughtUp++
+			}
+		}
+		m.platform.restore(4)
+		m.platform.put("contracts/001", "new")
+		m.run(t, time.Minute)
+		for _, d := range m.daemons {
+			if a, b := d.syncer.InForce("contracts/000"), d.syncer.InForce("contracts/001"); a != 8 || b != 5 {
+				t.Fatalf("%s has revisions %d and %d in force, want 8, which stays, and 5, which is new", d.vm.ID, a, b)
+			}
+		}
+		if behind != 1 || caughtUp != 0 || !m.daemons[0].syncer.read.behind {
+			t.Fatalf("reported behind %d times and caught up %d times", behind, caughtUp)
+		}
+		for m.platform.revision < 9 {
+			m.platform.put("contracts/000", string(rune('a'+m.platform.revision)))
+		}
+		m.run(t, time.Minute)
+		if got := m.daemons[0].syncer.InForce("contracts/000"); got != 9 || caughtUp != 1 {
+			t.Fatalf("contracts/000 in force at %d, caught up %d times", got, caughtUp)
+		}
+	})
+}
+
+// Guards against a daemon that depends on readers that are gone, and against one that spends more than its budget.
+func TestFallbackReadsWithinBudget(t *testing.T) {
+	m := newModel(7, 1)
+	for i := range 30 {
+		m.platform.put(fmt.Sprintf("services/%02d", i), "0")
+	}
+	for minute := range 60 {
+		now := m.now.Add(time.Duration(minute) * time.Minute)
+		members := membership.New(membership.Config{Self: m.daemons[0].vm})
+		members.SetDirectory(m.directory)
+		s := NewSyncer(now, SyncerConfig{Store: NewStore(), Members: members, Random: rand.New(rand.NewPCG(uint64(minute), 0))})
+		s.ChangesDone(now, s.NextRead(now), now, m.platform.changes(0), nil)
+		calls, after := 0, 0
+		for tick := range 600 {
+			at := now.Add(time.Duration(tick) * 100 * time.Millisecond)
+			if members.IsReader(at) {
+				break
+			}
+			step := s.NextRead(at)
+			if step.Kind == StepWait {
+				continue
+			}
+			if step.Kind == StepChanges && at.Sub(now) < fallbackAfter {
+				t.Fatalf("listed changes after %s", at.Sub(now))
+			}
+			calls++
+			if tick >= 410 {
+				after++
+			}
+			m.platform.answer(step, at)(at, s)
+			s.heard = now // no reader is heard of
+		}
+		if calls > 5+7 {
+			t.Fatalf("%d calls in a minute", calls)
+		}
+		if !members.IsReader(now) && after == 0 {
+			t.Fatalf("no call after 40 s without a reader")
+		}
+	}
+}
+
+// Guards against values that the platform lists and does not supply: they must hold up neither others nor the start.
+func TestValueThatCannotBeReadHoldsUpNothing(t *testing.T) {
+	m := newModel(1, 1)
+	delete(m.platform.versions, "contracts/000")
+	m.platform.versions["gone"] = nil
+	s := m.daemons[0].syncer
+	refused := 0
+	s.cfg.Emit = func(e Event) {
+		if e.Kind == EventRefused && e.Name == "gone" {
+			refused++
+		}
+	}
+	listed := m.platform.changes(0)
+	listed.Changed[0].Name = "gone"
+	read := func(ticks int) {
+		for range ticks {
+			m.now = m.now.Add(100 * time.Millisecond)
+			step := s.NextRead(m.now)
+			if step.Kind == StepChanges && step.After == 0 {
+				s.ChangesDone(m.now, step, m.now, listed, nil)
+			} else if step.Kind != StepWait {
+				m.platform.answer(step, m.now)(m.now, s)
+			}
+		}
+	}
+	read(1000)
+	if s.store.Revision(IndexName) == 0 || refused != 1 || s.unread() != 0 {
+		t.Fatalf("index at %d, refused %d times, %d unread", s.store.Revision(IndexName), refused, s.unread())
+	}
+	m.platform.versions["gone"] = []platform.Value{{Name: "gone", Revision: listed.Changed[0].Revision}}
+	read(1000)
+	if s.store.Revision("gone") == 0 {
+		t.Fatal("a value that came back was not read")
+	}
+}
+
+// Guards against waiting for ever for a value that a peer offered and that was lost on the way.
+func TestLostPushIsRepaired(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.IntRange(2, 7).Draw(t, "n"), rapid.Uint64Range(0, 1<<32).Draw(t, "seed"))
+		m.run(t, 20*time.Second)
+		m.platform.down = true
+		source := m.daemons[0]
+		source.syncer.Receive(m.now, SourcePlatform, []Value{{Revision{Name: "contracts/000", Revision: 9}, Compress([]byte("new"))}})
+		offer, _ := source.syncer.store.Get("contracts/000")
+		for _, d := range m.daemons[1:] {
+			if wanted := d.syncer.Offered(m.now, source.vm.ID, []Revision{offer.Revision}); len(wanted) != 1 {
+				t.Fatalf("%s wants %v", d.vm.ID, wanted)
+			}
+			if wanted := d.syncer.Offered(m.now, "another", []Revision{offer.Revision}); len(wanted) != 0 {
+				t.Fatalf("%s wants %v twice", d.vm.ID, wanted)
+			}
+		}
+		m.run(t, 40*time.Second)
+		for _, d := range m.daemons {
+			if got := d.syncer.InForce("contracts/000"); got != 9 {
+				t.Fatalf("%s has revision %d in force", d.vm.ID, got)
+			}
+		}
+	})
+}
--- a/internal/configsync/store.go
+++ b/internal/configsync/store.go
@@ -179,18 +179,27 @@
 	})
 }
 
+// Writers and readers of gzip are kept, because a new writer takes 800 KB of memory.
+var (
+	writers = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
+	readers = sync.Pool{New: func() any { return new(gzip.Reader) }}
+)
+
 // Compress returns content compressed with gzip.
 func Compress(content []byte) []byte {
 	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
+	w, _ := writers.Get().(*gzip.Writer)
+	defer writers.Put(w)
+	w.Reset(&b)
 	_, _ = w.Write(content) // a bytes.Buffer accepts everything
 	_ = w.Close()
 	return b.Bytes()
 }
 
 func decompress(data []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(data))
-	if err != nil {
+	r, _ := readers.Get().(*gzip.Reader)
+	defer readers.Put(r)
+	if err := r.Reset(bytes.NewReader(data)); err != nil {
 		return nil, ErrContent
 	}
 	content, err := io.ReadAll(io.LimitReader(r, maxContentBytes+1))
--- /dev/null
+++ b/internal/configsync/store_test.go
@@ -0,0 +1,92 @@
+package configsync
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	_ "github.com/cowsliprun/cowsliprun/internal/rapidseed"
+	"pgregory.net/rapid"
+)
+
+// Compares the store with a map, so that no order of arrival lowers a revision, replaces content at an equal revision, or
+// leaves a digest that differs for equal stores.
+func TestStoreAgainstModel(t *testing.T) {
+	type entry struct {
+		revision uint64
+		content  string
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		s, model := NewStore(), map[string]entry{}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				name := rapid.SampledFrom([]string{"index", "vms", "contracts/000"}).Draw(t, "name")
+				e := entry{rapid.Uint64Range(1, 6).Draw(t, "revision"), rapid.SampledFrom([]string{"a", "b"}).Draw(t, "content")}
+				held, want := model[name], Stored
+				switch {
+				case held.revision > e.revision:
+					want = Older
+				case held.revision == e.revision && held.content == e.content:
+					want = Same
+				case held.revision == e.revision:
+					want = Conflict
+				default:
+					model[name] = e
+				}
+				got, before, err := s.Put(name, e.revision, Compress([]byte(e.content)))
+				if got != want || before != held.revision || err != nil {
+					t.Fatalf("Put = %d, %d, %v; want %d, %d", got, before, err, want, held.revision)
+				}
+			},
+			"": func(t *rapid.T) {
+				again, highest := NewStore(), uint64(0)
+				for name, e := range model {
+					highest = max(highest, e.revision)
+					if _, _, err := again.Put(name, e.revision, Compress([]byte(e.content))); err != nil {
+						t.Fatal(err)
+					}
+					v, _ := s.Get(name)
+					if content, err := v.Content(); err != nil || string(content) != e.content || v.Revision.Revision != e.revision {
+						t.Fatalf("%s = %q at %d, want %+v", name, content, v.Revision.Revision, e)
+					}
+				}
+				if s.Digest() != again.Digest() || len(s.Revisions()) != len(model) || s.Highest() != highest {
+					t.Fatalf("digest, list or highest revision differ from a store filled in another order")
+				}
+			},
+		})
+	})
+}
+
+// Guards against content that would fill the memory of a daemon or could not be applied.
+func TestStoreRefusesInvalidValues(t *testing.T) {
+	s := NewStore()
+	for _, c := range []struct {
+		name     string
+		revision uint64
+		data     []byte
+		want     error
+	}{
+		{"index", 0, Compress(nil), ErrZero},
+		{"", 1, Compress(nil), ErrName},
+		{"contracts/../x", 1, Compress(nil), ErrName},
+		{strings.Repeat("a", maxNameBytes+1), 1, Compress(nil), ErrName},
+		{"index", 1, []byte("plain"), ErrContent},
+		{"index", 1, Compress([]byte("cut"))[:20], ErrContent},
+		{"index", 1, Compress(bytes.Repeat([]byte("x"), maxContentBytes+1)), ErrContent},
+	} {
+		if outcome, _, err := s.Put(c.name, c.revision, c.data); outcome != Invalid || !errors.Is(err, c.want) {
+			t.Errorf("Put(%q, %d) = %d, %v, want %v", c.name, c.revision, outcome, err, c.want)
+		}
+	}
+	for i := range maxValues {
+		if _, _, err := s.Put(fmt.Sprint(i), 1, Compress(nil)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if outcome, _, err := s.Put("one-more", 1, Compress(nil)); outcome != Invalid || !errors.Is(err, ErrFull) {
+		t.Errorf("Put into a full store = %d, %v", outcome, err)
+	}
+}
