--- a/internal/configsync/measure/fleet.go
+++ b/internal/configsync/measure/fleet.go
@@ -16,8 +16,6 @@
 	standin "github.com/cowsliprun/cowsliprun/internal/standin/platform"
 )
 
-const dataCentres = 7
-
 // node is one daemon, reduced to its propagation of configuration.
 type node struct {
 	vm       membership.VM
@@ -59,7 +57,7 @@
 	all           chan struct{}
 }
 
-func newFleet(n, buckets, fanout int) (*fleet, error) {
+func newFleet(n int, o options) (*fleet, error) {
 	f := &fleet{store: standin.NewStore()}
 	f.standin, f.values = standin.New(f.store, ""), newValues(f.store)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -76,7 +74,7 @@
 		if err != nil {
 			return nil, err
 		}
-		dc := i % dataCentres
+		dc := i % o.dataCentres
 		vm := membership.VM{
 			ID: fmt.Sprintf("vm%04d", i), DataCentre: fmt.Sprintf("dc%d", dc), Region: fmt.Sprintf("region%d", dc%2),
 			Address: listener.Addr().String(),
@@ -88,11 +86,11 @@
 	if err := f.standin.SetVMs(list); err != nil {
 		return nil, err
 	}
-	if err := f.values.load(vms, buckets); err != nil {
+	if err := f.values.load(vms, o.buckets); err != nil {
 		return nil, err
 	}
 	for i, nd := range f.nodes {
-		f.start(nd, uint64(i)+1, fanout)
+		f.start(nd, uint64(i)+1, o.fanout)
 	}
 	return f, nil
 }
--- a/internal/configsync/measure/run.go
+++ b/internal/configsync/measure/run.go
@@ -21,21 +21,33 @@
 	changesPerDay = 910
 )
 
-// Main runs the measurement for each size and prints one line each. It returns the exit code.
+// options of a measurement.
+type options struct {
+	sizes                                 string
+	changes, buckets, fanout, dataCentres int
+	idle                                  time.Duration
+}
+
+// Main runs the measurement for each size and prints its figures. It returns the exit code.
 func Main() int {
-	sizes, changes, idle, buckets, fanout := "3,30,150", 30, 30*time.Second, contractBuckets, configsync.DefaultFanout
+	o := options{sizes: "3,30,150", changes: 30, buckets: contractBuckets, fanout: configsync.DefaultFanout, dataCentres: 7, idle: 30 * time.Second}
 	flaggy.SetName("measure-configsync")
 	flaggy.SetDescription("Measures the propagation of configuration over loopback sockets.")
-	flaggy.String(&sizes, "n", "nodes", "Numbers of daemons, separated by commas.")
-	flaggy.Int(&changes, "c", "changes", "Changes per size.")
-	flaggy.Duration(&idle, "i", "idle", "Time without changes to measure.")
-	flaggy.Int(&buckets, "b", "buckets", "Contract buckets.")
-	flaggy.Int(&fanout, "f", "fanout", "Peers offered a change.")
+	flaggy.String(&o.sizes, "n", "nodes", "Numbers of daemons, separated by commas.")
+	flaggy.Int(&o.changes, "c", "changes", "Changes per size.")
+	flaggy.Duration(&o.idle, "i", "idle", "Time without changes to measure.")
+	flaggy.Int(&o.buckets, "b", "buckets", "Contract buckets.")
+	flaggy.Int(&o.fanout, "f", "fanout", "Peers offered a change.")
+	flaggy.Int(&o.dataCentres, "d", "datacentres", "Data centres, which take turns between two regions.")
 	flaggy.Parse()
-	for text := range strings.SplitSeq(sizes, ",") {
+	if o.changes < 1 || o.buckets < 1 || o.buckets > contractBuckets || o.dataCentres < 1 || o.idle <= 0 {
+		fmt.Fprintln(os.Stderr, "changes, buckets (up to 512), datacentres and idle must be positive")
+		return 1
+	}
+	for text := range strings.SplitSeq(o.sizes, ",") {
 		n, err := strconv.Atoi(text)
 		if err == nil {
-			err = measure(n, buckets, fanout, changes, idle)
+			err = measure(n, o)
 		}
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "measurement with %s daemons: %v\n", text, err)
@@ -73,8 +85,8 @@
 	return s
 }
 
-func measure(n, buckets, fanout, changes int, idle time.Duration) error {
-	f, err := newFleet(n, buckets, fanout)
+func measure(n int, o options) error {
+	f, err := newFleet(n, o)
 	if err != nil {
 		return err
 	}
@@ -89,12 +101,12 @@
 		n, ready.Seconds(), loaded.calls-start.calls, (loaded.peers-start.peers)/uint64(n), ms(loaded.cpu-start.cpu)/float64(n))
 	time.Sleep(5 * time.Second) // lets the last exchanges of the start end
 	before := f.sample()
-	time.Sleep(idle)
+	time.Sleep(o.idle)
 	quiet := f.sample()
 	idleBytes := f.report("idle", before, quiet)
 	var all, worst []time.Duration
-	for i := range changes {
-		times, err := f.change(i*7%buckets, i+1, changeTimeout)
+	for i := range o.changes {
+		times, err := f.change(i*7%o.buckets, i+1, changeTimeout)
 		if err != nil {
 			return err
 		}
@@ -107,9 +119,9 @@
 	slices.Sort(all)
 	slices.Sort(worst)
 	seconds := after.at.Sub(quiet.at).Seconds()
-	perChange := (changeBytes - idleBytes) * seconds / float64(changes)
+	perChange := (changeBytes - idleBytes) * seconds / float64(o.changes)
 	fmt.Printf("n=%d in force: p50 %.0f ms, p99 %.0f ms, everywhere p50 %.0f ms, max of %d changes %.0f ms\n",
-		n, ms(quantile(all, 0.5)), ms(quantile(all, 0.99)), ms(quantile(worst, 0.5)), changes, ms(worst[len(worst)-1]))
+		n, ms(quantile(all, 0.5)), ms(quantile(all, 0.99)), ms(quantile(worst, 0.5)), o.changes, ms(worst[len(worst)-1]))
 	fmt.Printf("n=%d bytes per change and daemon (sent and received) %.0f; at %d changes a day %.0f B/s beside %.0f B/s idle\n",
 		n, perChange, changesPerDay, perChange*changesPerDay/86400, idleBytes)
 	return nil
