Bound the requests that wait for a share, and count each once

Cause: a waiting request asked for admission every 5 ms, and each look counted as a request in the demand reported to the holder; the number of waiting requests had no bound. Measured: TestRequestWaitsForShare saw more than 60 requests a second reported for 5 in 100 ms before AdmitAgain; it passes now.

--- a/internal/daemon/limiter.go
+++ b/internal/daemon/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
@@ -9,21 +10,38 @@
 	"github.com/cowsliprun/cowsliprun/internal/limits"
 )
 
+// maxWaiting bounds the requests that wait for a share at the same time. More are refused at once, so that a flood of
+// requests above a limit does not pile up in memory.
+const maxWaiting = 1024
+
 // limiter admits callers' requests by the shares of this daemon.
 type limiter struct {
-	user *limits.User
-	ask  chan<- struct{}
+	user    *limits.User
+	ask     chan<- struct{}
+	waiting atomic.Int64
 }
 
 // Admit takes one request of the customer's limits. A request that comes before the daemon has a share waits for it, at most
 // limits.MaxWait.
 func (l *limiter) Admit(ctx context.Context, c *catalog.Customer) *errkind.Error {
+	d := l.user.Admit(time.Now(), c)
+	if d.OK {
+		return nil
+	}
+	if d.Wait <= 0 {
+		return d.Err
+	}
+	defer l.waiting.Add(-1)
+	if l.waiting.Add(1) > maxWaiting {
+		return d.Err
+	}
+	return l.wait(ctx, c, d)
+}
+
+// wait looks for the share until the request is admitted or the wait ends.
+func (l *limiter) wait(ctx context.Context, c *catalog.Customer, d limits.Decision) *errkind.Error {
 	end := time.Now().Add(limits.MaxWait)
-	for {
-		d := l.user.Admit(time.Now(), c)
-		if d.OK {
-			return nil
-		}
+	for ; !d.OK; d = l.user.AdmitAgain(time.Now(), c) {
 		left := time.Until(end)
 		if d.Wait <= 0 || left <= 0 {
 			return d.Err
@@ -36,6 +54,7 @@
 			return errkind.New(errkind.DeadlineBeforeRun, "the deadline passed while the request waited for a share of its limits")
 		}
 	}
+	return nil
 }
 
 // shareWait is the time between two looks for a share. A holder in the same data centre answers within it.
--- a/internal/limits/state.go
+++ b/internal/limits/state.go
@@ -109,7 +109,6 @@
 
 // admit decides about one request.
 func (s *state) admit(now time.Time, plan Plan) Decision {
-	s.seen++
 	s.peak = max(s.peak, s.inFlight+1)
 	allowed := uint32(baseConcurrency)
 	shared := s.share.valid(now)
--- a/internal/limits/user.go
+++ b/internal/limits/user.go
@@ -102,7 +102,13 @@
 }
 
 // Admit decides about a request of the customer. After an OK the caller calls Release when the request has ended.
-func (u *User) Admit(now time.Time, c *catalog.Customer) Decision {
+func (u *User) Admit(now time.Time, c *catalog.Customer) Decision { return u.admit(now, c, 1) }
+
+// AdmitAgain decides once more about a request that waits for a share. It does not count as another request, which would raise
+// the demand reported to the holder.
+func (u *User) AdmitAgain(now time.Time, c *catalog.Customer) Decision { return u.admit(now, c, 0) }
+
+func (u *User) admit(now time.Time, c *catalog.Customer, requests uint32) Decision {
 	sh := u.shard(c.Name)
 	sh.mu.Lock()
 	s := sh.states[c.Name]
@@ -111,6 +117,7 @@
 		sh.states[c.Name] = s
 	}
 	s.setContract(c)
+	s.seen += requests
 	d := s.admit(now, sh.plan)
 	add := !d.OK && !s.wanted
 	if add {
