Limit repeats of a log line per subject

Cause: the limit of 5 lines per 10 s counted the sentence only. When six backend servers change their modes at once, the lines about the sixth were left out, so the log did not show that it had changed. Ruled out: the whole line as the key (a reason or an error with a changing number would get around the limit); a second argument for the subject (every call would change, and the first pair already names the subject at each of the present calls). Change: the first key-value pair is part of the key. The memory stays bounded at 1024 sentences and subjects. Left: a line whose first pair is an error ("Detector settings are not usable.") is limited per error text.

--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -10,11 +10,14 @@
 	"github.com/go-kit/log/level"
 )
 
-// A sentence is written at most repeatLimit times per repeatInterval. The next line after the interval tells how many were left out.
+// A sentence about one subject is written at most repeatLimit times per repeatInterval. The next line after the interval tells
+// how many were left out. The subject is the first key-value pair: without it, lines about one backend server would hide those
+// about another.
 const (
 	repeatLimit    = 5
 	repeatInterval = 10 * time.Second
-	maxSentences   = 1024
+	// maxRepeats bounds the sentences and subjects remembered, about 200 bytes each.
+	maxRepeats = 1024
 )
 
 // Logger writes the lines of one part.
@@ -76,7 +79,7 @@
 }
 
 func (l *Logger) write(to log.Logger, sentence string, keyvals []any) {
-	left, ok := l.repeats.allow(l.prefix+sentence, time.Now())
+	left, ok := l.repeats.allow(l.prefix+sentence+subject(keyvals), time.Now())
 	if !ok {
 		return
 	}
@@ -87,6 +90,14 @@
 	to.Log(line...) //nolint:errcheck // there is no other place to report a failed log line
 }
 
+// subject returns the first key-value pair as text.
+func subject(keyvals []any) string {
+	if len(keyvals) < 2 {
+		return ""
+	}
+	return fmt.Sprintf(" %v=%v", keyvals[0], keyvals[1])
+}
+
 type repeat struct {
 	since   time.Time
 	written int
@@ -98,17 +109,17 @@
 	seen map[string]*repeat
 }
 
-// allow reports whether the sentence may be written, and how many were left out before it.
-func (r *repeats) allow(sentence string, now time.Time) (leftOut int, ok bool) {
+// allow reports whether the sentence with its subject may be written, and how many were left out before it.
+func (r *repeats) allow(line string, now time.Time) (leftOut int, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	entry := r.seen[sentence]
+	entry := r.seen[line]
 	if entry == nil {
-		if len(r.seen) >= maxSentences {
+		if len(r.seen) >= maxRepeats {
 			clear(r.seen)
 		}
 		entry = &repeat{since: now}
-		r.seen[sentence] = entry
+		r.seen[line] = entry
 	}
 	if now.Sub(entry.since) >= repeatInterval {
 		leftOut = entry.leftOut
