Give the admin API lowerCamel names and durations as text

Cause: the admin JSON mixed the names of Go fields (Status, Decision) with lowerCamel ones (audit entries, contracts), and durations were numbers of nanoseconds. The types of home, ejection, configsync and membership were written as they are, so that a change inside these packages changed the API. Change: internal/admin has its own types with tags; the daemon converts. Lists without items are [], the incarnation is text because JSON readers round numbers above 2^53. New: GET /v1/revisions (all values in one call), /v1/vms, /v1/backends/{id} (where a backend server runs); the status lists API keys and backend servers that two documents claim; the audit page names the incarnation, so that a follower sees a restart; the audit entry of an override names the override before it. Ruled out: tags on the types of the other packages (they are internal and change with them); a tag of go-json-experiment for durations (encoding/json, which the example uses to decode, does not know it). Candidate.Latency stays a time.Duration because internal/entry sets it, and has its own JSON form.

--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -12,6 +12,8 @@
 	"github.com/cowsliprun/cowsliprun/internal/audit"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/go-chi/chi/v5"
+	jsonv2 "github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
 )
 
 const (
@@ -25,6 +27,11 @@
 	// Ready returns an empty text when the daemon serves, else the reason why not.
 	Ready() string
 	Revision(value string) Revision
+	Revisions() Revisions
+	// VMs returns the VMs of the configuration in force, by name.
+	VMs() []VM
+	// Placement reports false when the configuration in force has no such backend server.
+	Placement(backend string) (Placement, bool)
 	Explain(customer, method, path string) Decision
 	// Documents returns the documents in force of one value.
 	Documents(value string) (contract.Documents, error)
@@ -44,6 +51,9 @@
 	r.Get("/metrics", func(w http.ResponseWriter, _ *http.Request) { d.WriteMetrics(w) })
 	r.Get("/v1/status", func(w http.ResponseWriter, _ *http.Request) { write(w, d.Status()) })
 	r.Get("/v1/revision", func(w http.ResponseWriter, r *http.Request) { write(w, d.Revision(r.URL.Query().Get("value"))) })
+	r.Get("/v1/revisions", func(w http.ResponseWriter, _ *http.Request) { write(w, d.Revisions()) })
+	r.Get("/v1/vms", func(w http.ResponseWriter, _ *http.Request) { write(w, d.VMs()) })
+	r.Get("/v1/backends/{id}", func(w http.ResponseWriter, r *http.Request) { placement(w, r, d) })
 	r.Get("/v1/explain", func(w http.ResponseWriter, r *http.Request) { explain(w, r, d) })
 	r.Get("/v1/values", func(w http.ResponseWriter, _ *http.Request) { write(w, d.Values()) })
 	r.Get("/v1/documents", func(w http.ResponseWriter, r *http.Request) { documents(w, r, d) })
@@ -96,7 +106,17 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	write(w, docs)
+	write(w, Documents(docs))
+}
+
+func placement(w http.ResponseWriter, r *http.Request, d Daemon) {
+	id := chi.URLParam(r, "id")
+	found, ok := d.Placement(id)
+	if !ok {
+		http.Error(w, "no service in force has a backend server "+id, http.StatusNotFound)
+		return
+	}
+	write(w, found)
 }
 
 func trail(w http.ResponseWriter, r *http.Request, d Daemon) {
@@ -122,7 +142,8 @@
 		}
 		entries, _ = d.Trail().Since(from)
 	}
-	page := AuditPage{VM: d.Status().VM, Entries: entries, Next: from}
+	status := d.Status()
+	page := AuditPage{VM: status.VM, Incarnation: status.Incarnation, Entries: entries, Next: from}
 	if len(entries) > 0 {
 		page.Next = entries[len(entries)-1].Sequence + 1
 	}
@@ -171,7 +192,13 @@
 	return true
 }
 
+// write sends a response. Lists without items are [], so that scripts can loop over them.
 func write(w http.ResponseWriter, v any) {
+	body, err := jsonv2.Marshal(v, jsontext.AllowInvalidUTF8(true), jsonv2.Deterministic(true))
+	if err != nil {
+		http.Error(w, "response: "+err.Error(), http.StatusInternalServerError)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(v) //nolint:errcheck // the operator's tool is gone when this fails
+	w.Write(append(body, '\n')) //nolint:errcheck // the operator's tool is gone when this fails
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -3,12 +3,17 @@
 import (
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/admin"
 	"github.com/cowsliprun/cowsliprun/internal/audit"
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/configsync"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/ejection"
+	"github.com/cowsliprun/cowsliprun/internal/home"
 )
 
 // operator is the operators' view of the daemon.
@@ -22,12 +27,15 @@
 	st := admin.Status{
 		VM: d.settings.VM, DataCentre: d.settings.DataCentre, Region: d.settings.Region, Version: Version,
 		Incarnation: d.incarnation, Started: d.started, Reason: o.Ready(), Leaving: d.home.Leaving(),
-		Configuration: d.sync.Status(), Findings: d.book.Findings(), BackendServers: d.home.Explain(time.Now()),
+		Configuration: configurationStatus(d.sync.Status()), Findings: d.book.Findings(),
 		Operations: d.memory.Stats().Entries, LimitedCustomers: d.shares.Customers(), PlatformCalls: d.platform.calls(),
 	}
 	st.Ready = st.Reason == ""
+	for _, e := range d.home.Explain(time.Now()) {
+		st.BackendServers = append(st.BackendServers, backendStatus(e))
+	}
 	if s := d.book.Snapshot(); s != nil {
-		st.Customers, st.Services, st.VMs = s.CustomerCount(), len(s.Services()), len(s.VMs())
+		st.Customers, st.Services, st.VMs, st.Conflicts = s.CustomerCount(), len(s.Services()), len(s.VMs()), s.Conflicts()
 	}
 	return st
 }
@@ -48,6 +56,47 @@
 	return admin.Revision{VM: o.d.settings.VM, Value: value, Revision: o.d.sync.InForce(value)}
 }
 
+// Revisions implements admin.Daemon.
+func (o operator) Revisions() admin.Revisions {
+	out := admin.Revisions{VM: o.d.settings.VM, Values: map[string]uint64{}}
+	for _, name := range append(o.d.book.Values(), contract.ValueIndex) {
+		out.Values[name] = o.d.sync.InForce(name)
+	}
+	return out
+}
+
+// VMs implements admin.Daemon.
+func (o operator) VMs() []admin.VM {
+	list := []admin.VM{}
+	if s := o.d.book.Snapshot(); s != nil {
+		for _, vm := range s.VMs() {
+			list = append(list, vmOf(vm))
+		}
+	}
+	slices.SortFunc(list, func(a, b admin.VM) int { return strings.Compare(a.VM, b.VM) })
+	return list
+}
+
+// Placement implements admin.Daemon.
+func (o operator) Placement(backend string) (admin.Placement, bool) {
+	s := o.d.book.Snapshot()
+	if s == nil {
+		return admin.Placement{}, false
+	}
+	b := s.BackendServer(backend)
+	if b == nil {
+		return admin.Placement{}, false
+	}
+	return admin.Placement{BackendServer: b.ID, Service: b.Service, Address: b.Address, Slots: b.Slots, VM: vmOf(b.VM)}, true
+}
+
+func vmOf(vm *catalog.VM) admin.VM {
+	return admin.VM{
+		VM: vm.ID, DataCentre: vm.Locality.DataCentre, Region: vm.Locality.Region,
+		PeerAddress: vm.PeerAddress, AdminAddress: vm.AdminAddress,
+	}
+}
+
 // Documents implements admin.Daemon.
 func (o operator) Documents(value string) (contract.Documents, error) {
 	return o.d.book.Documents(value)
@@ -77,9 +126,17 @@
 	if !ok {
 		return false, fmt.Errorf("override %q is not none, pin-in-service or force-out", override)
 	}
+	before := ""
+	for _, e := range o.d.home.Explain(time.Now()) {
+		if e.BackendServer == backend {
+			before = e.Ejection.Override.String()
+		}
+	}
 	found := o.d.home.SetOverride(time.Now(), backend, value)
 	if found {
-		o.d.audit.Add(audit.Entry{Actor: "operator " + operator, Action: "override", Subject: "backend server " + backend, To: override, Accepted: true})
+		o.d.audit.Add(audit.Entry{
+			Actor: "operator " + operator, Action: "override", Subject: "backend server " + backend, From: before, To: override, Accepted: true,
+		})
 	}
 	return found, nil
 }
@@ -89,3 +146,38 @@
 
 // WriteMetrics implements admin.Daemon.
 func (o operator) WriteMetrics(w io.Writer) { o.d.metrics.WritePrometheus(w) }
+
+func configurationStatus(s configsync.Status) admin.Configuration {
+	out := admin.Configuration{
+		IndexRevision: s.IndexRevision, IndexValues: s.IndexValues, Held: s.Held, HighestRevision: s.HighestRevision,
+		Conflicts: s.Conflicts, BytesSent: s.Bytes.Sent, BytesReceived: s.Bytes.Received,
+		Platform: admin.Platform{
+			Heard: s.Platform.Heard, Age: contract.Duration(s.Platform.Age), Reader: s.Platform.Reader, Revision: s.Platform.Revision,
+			Down: s.Platform.Down, Behind: s.Platform.Behind, LastError: s.Platform.LastError, Unread: s.Platform.Unread,
+		},
+		Members: admin.Members(s.Members),
+	}
+	for _, r := range s.Refused {
+		out.Refused = append(out.Refused, admin.RefusedValue{Value: r.Name, Revision: r.Revision, InForce: r.InForce, Reason: r.Reason})
+	}
+	return out
+}
+
+func backendStatus(e home.Explanation) admin.BackendServer {
+	x := e.Ejection
+	return admin.BackendServer{
+		BackendServer: e.BackendServer, Service: e.Service, Address: e.Address, InFlight: e.InFlight, Waiting: e.Waiting,
+		Slots: e.Slots, HeldInServiceUntil: e.HeldInServiceUntil,
+		Ejection: admin.Ejection{
+			State: admin.State{
+				Mode: admin.Mode(x.State.Mode.String()), Allowed: x.State.Allowed,
+				Remaining: contract.Duration(x.State.Remaining), Permit: contract.Duration(x.State.Permit),
+			},
+			Since: x.Since, Override: x.Override.String(), Latency: admin.Evidence(x.Latency), Errors: admin.Evidence(x.Errors),
+			SlowRatio: x.SlowRatio, ErrorShare: x.ErrorShare, NormalErrorShare: x.NormalErrorShare,
+			BaselineMedian: contract.Duration(x.BaselineMedian), BaselineEntries: x.BaselineEntries,
+			NextHoldOff: contract.Duration(x.NextHoldOff), ProbesPassed: x.ProbesPassed, ProbesNeeded: x.ProbesNeeded,
+			Ejections: x.Ejections, Pauses: x.Pauses, Reason: x.Reason,
+		},
+	}
+}
