Add the online commands of cowslipctl

Cause: the tool read local files only, so operators had to read the admin JSON with curl, daemon by daemon. Change: status, explain, wait, drain, audit, override, and diff against what is in force. The daemon of the VM that runs a backend server is found by any daemon. Exit status 4 means that a wait reached its limit. check, diff and render check the names and ranges of detector overrides now, as daemons do. Admin addresses that several VMs share are loopback and are not asked from elsewhere; a wait that left VMs out ends with 3. A drain asks first and takes one daemon. Ruled out: guessing the VM of a backend server by asking all daemons (1,200 calls); a prompt on standard output (it would be in the JSON). Found by the race detector: the fake daemons served before their map was complete; they start after it now.

--- a/internal/ctl/check.go
+++ b/internal/ctl/check.go
@@ -7,6 +7,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/ejection"
 	"github.com/cowsliprun/cowsliprun/internal/strictyaml"
 )
 
@@ -47,7 +48,7 @@
 
 // load reads and checks documents. No documents at all are a fault, because a wrong path would look like a good fleet.
 func load(paths ...string) (contract.Documents, strictyaml.Issues) {
-	var set contract.Set
+	set := contract.Set{Detector: ejection.CheckOverrides}
 	set.AddPaths(paths...)
 	docs, issues := set.Documents(), set.Check()
 	if len(issues) == 0 && len(docs.All()) == 0 {
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -8,6 +9,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/go-json-experiment/json"
@@ -37,12 +39,31 @@
 type unreachableError struct {
 	address string
 	reason  string
+	// timeout is true when something may still be there, but did not respond in time.
+	timeout bool
 }
 
 func (e *unreachableError) Error() string {
 	return fmt.Sprintf("no response from the daemon at %s: %s; check that cowsliprund runs there and that this is its admin listener", e.address, e.reason)
 }
 
+// refusedError means that the daemon responded with a status other than success.
+type refusedError struct {
+	address, method, path string
+	status                int
+	body                  string
+}
+
+func (e *refusedError) Error() string {
+	return fmt.Sprintf("the daemon at %s refused %s %s with status %d: %.200s", e.address, e.method, e.path, e.status, e.body)
+}
+
+// isNotFound reports whether the daemon responded that it does not know the subject.
+func isNotFound(err error) bool {
+	var refused *refusedError
+	return errors.As(err, &refused) && refused.status == http.StatusNotFound
+}
+
 // statusOf returns the exit status for an error of the client.
 func statusOf(err error) int {
 	var unreachable *unreachableError
@@ -58,32 +79,41 @@
 
 // getJSON requests a path and decodes the response into out.
 func (c *client) getJSON(ctx context.Context, path string, out any) error {
-	return c.call(ctx, http.MethodGet, path, out)
+	return c.call(ctx, http.MethodGet, path, nil, out)
 }
 
-// postJSON asks the daemon to act and decodes the response into out.
-func (c *client) postJSON(ctx context.Context, path string, out any) error {
-	return c.call(ctx, http.MethodPost, path, out)
+// sendJSON asks the daemon to act and decodes the response into out, unless out is nil.
+func (c *client) sendJSON(ctx context.Context, method, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	return c.call(ctx, method, path, body, out)
 }
 
-func (c *client) call(ctx context.Context, method, path string, out any) error {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, http.NoBody)
+func (c *client) call(ctx context.Context, method, path string, in []byte, out any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(in))
 	if err != nil {
 		return fmt.Errorf("the address %q cannot be used: %w", c.address, err)
 	}
+	if in != nil {
+		request.Header.Set("Content-Type", "application/json")
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return &unreachableError{c.address, c.reason(err)}
+		return c.unreachable(err)
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	switch {
 	case err != nil:
-		return &unreachableError{c.address, c.reason(err)}
+		return c.unreachable(err)
 	case len(body) > maxResponseBytes:
 		return fmt.Errorf("the daemon at %s sent more than %d bytes for %s", c.address, maxResponseBytes, path)
-	case response.StatusCode != http.StatusOK:
-		return fmt.Errorf("the daemon at %s refused %s %s with status %d: %.200s", c.address, method, path, response.StatusCode, body)
+	case response.StatusCode/100 != 2:
+		return &refusedError{c.address, method, path, response.StatusCode, strings.TrimSpace(string(body))}
+	case out == nil:
+		return nil
 	}
 	if err := json.Unmarshal(body, out); err != nil {
 		return fmt.Errorf("the daemon at %s sent for %s what cowslipctl cannot read, is it another version? %w", c.address, path, err)
@@ -91,16 +121,16 @@
 	return nil
 }
 
-// reason shortens an error of net/http, which repeats method and URL.
-func (c *client) reason(err error) string {
+// unreachable shortens an error of net/http, which repeats method and URL.
+func (c *client) unreachable(err error) *unreachableError {
 	var timeout net.Error
 	var system *os.SyscallError
 	switch {
 	case errors.As(err, &timeout) && timeout.Timeout():
-		return fmt.Sprintf("nothing within %s", c.timeout)
+		return &unreachableError{c.address, fmt.Sprintf("nothing within %s", c.timeout), true}
 	case errors.As(err, &system):
-		return system.Err.Error()
+		return &unreachableError{c.address, system.Err.Error(), false}
 	default:
-		return err.Error()
+		return &unreachableError{c.address, err.Error(), false}
 	}
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -22,10 +22,30 @@
 	})
 }
 
+// fleetKey finds the fake fleet of a script.
+type fleetKey struct{}
+
+// TestScripts runs the scripts of testdata. Each has two daemons of its own, at $VM1 and $VM2.
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
-		Dir:  "testdata",
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"status": wantStatus},
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			fleet := newFakeFleet()
+			env.Defer(fleet.close)
+			env.Values[fleetKey{}] = fleet
+			env.Setenv("VM1", fleet.daemons["vm1"].address())
+			env.Setenv("VM2", fleet.daemons["vm2"].address())
+			env.Setenv("USER", "anna")
+			// The race detector waits a second at the end of each process by default; that is a minute for all scripts.
+			env.Setenv("GORACE", "atexit_sleep_ms=10")
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"status": wantStatus,
+			"fake": func(ts *testscript.TestScript, neg bool, args []string) {
+				ts.Value(fleetKey{}).(*fakeFleet).change(ts, neg, args)
+			},
+		},
 	})
 }
 
@@ -89,7 +109,7 @@
 		}
 	}
 	var out map[string]string
-	if err := newClient(address, time.Minute).postJSON(context.Background(), "/good", &out); err != nil || out["method"] != http.MethodPost || statusOf(err) != StatusOK {
+	if err := newClient(address, time.Minute).sendJSON(context.Background(), http.MethodPost, "/good", struct{}{}, &out); err != nil || out["method"] != http.MethodPost || statusOf(err) != StatusOK {
 		t.Errorf("a good call gives %v, %v", out, err)
 	}
 }
--- a/internal/ctl/help.go
+++ b/internal/ctl/help.go
@@ -8,18 +8,19 @@
 )
 
 func writeOverview(w io.Writer) {
-	fmt.Fprintln(w, "cowslipctl checks, compares and renders the documents of a proxy fleet.")
+	fmt.Fprintln(w, "cowslipctl checks, compares and renders the documents of a proxy fleet, and asks its daemons.")
 	fmt.Fprintln(w, "\nUsage: cowslipctl COMMAND [ARGUMENTS] [FLAGS]\n\nCommands:")
 	for _, cmd := range commands() {
 		fmt.Fprintf(w, "  %-8s %s\n", cmd.name, cmd.summary)
 	}
 	fmt.Fprintln(w, "\ncowslipctl COMMAND --help shows the flags of a command, with examples.")
+	fmt.Fprintln(w, "No command publishes a configuration: that is done with the platform's own means.")
 	writeStatuses(w)
 }
 
 func writeStatuses(w io.Writer) {
-	fmt.Fprintln(w, "\nExit status: 0 nothing to report, 1 faults or differences found, 2 wrong usage or unusable input or output,")
-	fmt.Fprintln(w, "3 a daemon did not respond.")
+	fmt.Fprintln(w, "\nExit status: 0 nothing to report, 1 faults, differences or problems found, 2 wrong usage or unusable input or output,")
+	fmt.Fprintln(w, "3 a daemon did not respond, 4 a wait reached its time limit.")
 }
 
 func (cmd command) writeHelp(w io.Writer, parser *flaggy.Parser) {
@@ -33,9 +34,9 @@
 		if f.ShortName != "" {
 			short = "-" + f.ShortName + ","
 		}
-		fmt.Fprintf(w, "  %s --%-8s %s\n", short, f.LongName, f.Description)
+		fmt.Fprintf(w, "  %s --%-10s %s\n", short, f.LongName, f.Description)
 	}
-	fmt.Fprintln(w, "  -h, --help     this text")
+	fmt.Fprintln(w, "  -h, --help       this text")
 	fmt.Fprintln(w, "\nExamples:")
 	for _, example := range cmd.examples {
 		fmt.Fprintf(w, "  %s\n", example)
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -13,12 +13,14 @@
 const (
 	// StatusOK means that the command did its work and found nothing to report.
 	StatusOK = 0
-	// StatusFindings means that documents have faults, or that a comparison found differences.
+	// StatusFindings means that documents have faults, that a comparison found differences, or that a daemon reports a problem.
 	StatusFindings = 1
 	// StatusUsage means wrong arguments, or input or output that cannot be used.
 	StatusUsage = 2
 	// StatusUnreachable means that a daemon did not respond.
 	StatusUnreachable = 3
+	// StatusTimeout means that what the command waited for did not happen within its time limit.
+	StatusTimeout = 4
 )
 
 // Streams are the standard streams of a command.
@@ -45,7 +47,10 @@
 
 // commands lists the commands in the order of the help.
 func commands() []command {
-	return []command{checkCommand, diffCommand, renderCommand, keyCommand}
+	return []command{
+		checkCommand, diffCommand, renderCommand, keyCommand,
+		statusCommand, explainCommand, waitCommand, drainCommand, auditCommand, overrideCommand,
+	}
 }
 
 // Run runs the command that args name and returns the exit status.
--- /dev/null
+++ b/internal/ctl/status_subject.go
@@ -0,0 +1,261 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/url"
+	"strings"
+
+	"github.com/cowsliprun/cowsliprun/internal/admin"
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+)
+
+type backendResult struct {
+	VM string `json:"vm"`
+	admin.BackendServer
+}
+
+func statusOfBackend(ctx context.Context, out *output, t *targets, id string) int {
+	at, _, found, err := findBackend(ctx, t, id)
+	if err != nil {
+		return out.fail(statusOf(err), "%v", err)
+	}
+	out.result(backendResult{at.vm, found}, func(w io.Writer) {
+		writeBackends(w, []admin.BackendServer{found}, func(admin.BackendServer) string { return at.vm })
+	})
+	return outStatus(found)
+}
+
+func outStatus(b admin.BackendServer) int {
+	if b.Ejection.State.Mode.IsOut() {
+		return StatusFindings
+	}
+	return StatusOK
+}
+
+type serviceResult struct {
+	Service        string          `json:"service"`
+	Generation     uint64          `json:"generation"`
+	Floor          int             `json:"floor"`
+	InService      int             `json:"inService"`
+	Total          int             `json:"total"`
+	BackendServers []backendResult `json:"backendServers"`
+	// Unknown are backend servers whose home was not reached or does not have them in force.
+	Unknown    []string  `json:"unknown"`
+	NotReached []failure `json:"notReached"`
+}
+
+func statusOfService(ctx context.Context, out *output, t *targets, name string) int {
+	c, err := t.resolve(ctx)
+	if err != nil {
+		return out.fail(statusOf(err), "%v", err)
+	}
+	svc, vms, err := serviceInForce(ctx, c.targets, t, name)
+	if err != nil {
+		return out.fail(statusOf(err), "%v", err)
+	}
+	homes := choice{}
+	homes.add(homesOf(svc, vms))
+	daemons, failures, status := split(out, ask(ctx, homes.targets, t.timeout, getStatus))
+	homes.warn(out)
+	result := serviceResult{Service: name, Generation: svc.Generation, Total: len(svc.BackendServers), NotReached: failures}
+	percent := svc.FloorPercent
+	if percent == 0 {
+		percent = catalog.DefaultFloorPercent
+	}
+	result.Floor = catalog.FloorCount(result.Total, percent)
+	known := map[string]backendResult{}
+	for _, st := range daemons {
+		for _, b := range st.BackendServers {
+			known[b.BackendServer] = backendResult{st.VM, b}
+		}
+	}
+	for _, b := range svc.BackendServers {
+		found, ok := known[b.ID]
+		if !ok {
+			result.Unknown = append(result.Unknown, b.ID)
+			continue
+		}
+		result.BackendServers = append(result.BackendServers, found)
+		if !found.Ejection.State.Mode.IsOut() {
+			result.InService++
+		}
+	}
+	out.result(result, func(w io.Writer) { writeService(w, result) })
+	switch {
+	case status != StatusOK:
+		return status
+	case len(result.Unknown) > 0:
+		return StatusUnreachable
+	case result.InService < result.Floor:
+		return StatusFindings
+	default:
+		return StatusOK
+	}
+}
+
+// serviceInForce returns the service and the VMs as the first daemon that responds has them in force.
+func serviceInForce(ctx context.Context, list []target, t *targets, name string) (contract.Service, []admin.VM, error) {
+	docs, from, err := documentsInForce(ctx, list, t, contract.ValueOf(contract.Ref{Kind: contract.KindService, Name: name}))
+	if err != nil {
+		return contract.Service{}, nil, err
+	}
+	for _, svc := range docs.Services {
+		if svc.Service == name {
+			var vms []admin.VM
+			return svc, vms, newClient(from.address, t.timeout).getJSON(ctx, "/v1/vms", &vms)
+		}
+	}
+	return contract.Service{}, nil, fmt.Errorf("no service %q is in force at the daemon at %s", name, from)
+}
+
+func documentsInForce(ctx context.Context, list []target, t *targets, value string) (admin.Documents, target, error) {
+	return firstReply(ctx, list, t.timeout, func(ctx context.Context, c *client) (d admin.Documents, err error) {
+		return d, c.getJSON(ctx, documentsPath(value), &d)
+	})
+}
+
+func documentsPath(value string) string { return "/v1/documents?value=" + url.QueryEscape(value) }
+
+// homesOf returns the VMs that run backend servers of the service.
+func homesOf(svc contract.Service, vms []admin.VM) []admin.VM {
+	runs := map[string]bool{}
+	for _, b := range svc.BackendServers {
+		runs[b.VM] = true
+	}
+	var homes []admin.VM
+	for _, vm := range vms {
+		if runs[vm.VM] {
+			homes = append(homes, vm)
+		}
+	}
+	return homes
+}
+
+func writeService(w io.Writer, r serviceResult) {
+	fmt.Fprintf(w, "service %s, generation %d: %d of %d backend servers in service, floor %d\n", r.Service, r.Generation, r.InService, r.Total, r.Floor)
+	var list []admin.BackendServer
+	vms := map[string]string{}
+	for _, b := range r.BackendServers {
+		list = append(list, b.BackendServer)
+		vms[b.BackendServer.BackendServer] = b.VM
+	}
+	if len(list) > 0 {
+		writeBackends(w, list, func(b admin.BackendServer) string { return vms[b.BackendServer] })
+	}
+	if len(r.Unknown) > 0 {
+		fmt.Fprintf(w, "not known, because their daemons were not reached: %s\n", strings.Join(r.Unknown, ", "))
+	}
+}
+
+// customerState is the contract in force at one daemon.
+type customerState struct {
+	VM       string             `json:"vm"`
+	Revision uint64             `json:"revision"`
+	Contract *contract.Contract `json:"contract"`
+}
+
+type customerResult struct {
+	Customer   string          `json:"customer"`
+	Daemons    []customerState `json:"daemons"`
+	NotReached []failure       `json:"notReached"`
+}
+
+func statusOfCustomer(ctx context.Context, out *output, t *targets, name string) int {
+	c, err := t.resolve(ctx)
+	if err != nil {
+		return out.fail(statusOf(err), "%v", err)
+	}
+	value := contract.ValueOf(contract.Ref{Kind: contract.KindContract, Name: name})
+	states, failures, status := split(out, ask(ctx, c.targets, t.timeout, func(ctx context.Context, c *client) (customerState, error) {
+		return customerAt(ctx, c, value, name)
+	}))
+	c.warn(out)
+	result := customerResult{name, states, failures}
+	missing := 0
+	for _, s := range states {
+		if s.Contract == nil {
+			missing++
+		}
+	}
+	out.result(result, func(w io.Writer) { writeCustomer(w, result) })
+	if status == StatusOK && missing > 0 {
+		return StatusFindings
+	}
+	return status
+}
+
+func customerAt(ctx context.Context, c *client, value, name string) (customerState, error) {
+	var revision admin.Revision
+	if err := c.getJSON(ctx, "/v1/revision?value="+url.QueryEscape(value), &revision); err != nil {
+		return customerState{}, err
+	}
+	var docs admin.Documents
+	if err := c.getJSON(ctx, documentsPath(value), &docs); err != nil {
+		return customerState{}, err
+	}
+	state := customerState{VM: revision.VM, Revision: revision.Revision}
+	for i := range docs.Contracts {
+		if docs.Contracts[i].Customer == name {
+			state.Contract = &docs.Contracts[i]
+		}
+	}
+	return state, nil
+}
+
+func writeCustomer(w io.Writer, r customerResult) {
+	rows := [][]string{{"VM", "GENERATION", "VALUE AT REVISION"}}
+	var newest *contract.Contract
+	for _, s := range r.Daemons {
+		generation := "no contract"
+		if s.Contract != nil {
+			generation = fmt.Sprint(s.Contract.Generation)
+			if newest == nil || s.Contract.Generation > newest.Generation {
+				newest = s.Contract
+			}
+		}
+		rows = append(rows, []string{s.VM, generation, fmt.Sprint(s.Revision)})
+	}
+	if newest != nil {
+		writeContract(w, *newest)
+	} else {
+		fmt.Fprintf(w, "customer %s has no contract in force\n", r.Customer)
+	}
+	if len(rows) > 1 {
+		writeTable(w, rows...)
+	}
+}
+
+func writeContract(w io.Writer, c contract.Contract) {
+	fmt.Fprintf(w, "customer %s, generation %d: %s\n", c.Customer, c.Generation, limitsText(c.Limits))
+	rows := [][]string{{"ROUTE", "METHODS", "SERVICE", "AT MOST ONCE", "DEADLINE"}}
+	for _, r := range c.Routes {
+		deadline := r.Deadline
+		if deadline == 0 {
+			deadline = c.Deadline
+		}
+		text := "default"
+		if deadline != 0 {
+			text = deadline.String()
+		}
+		methods := strings.Join(r.Methods, " ")
+		if methods == "" {
+			methods = "all"
+		}
+		rows = append(rows, []string{r.PathPrefix, methods, r.Service, yesNo(r.AtMostOnce), text})
+	}
+	writeTable(w, rows...)
+}
+
+func limitsText(l contract.Limits) string {
+	text := fmt.Sprintf("%g requests/s, %d in flight", l.RatePerSecond, l.Concurrency)
+	if l.Burst > 0 {
+		text += fmt.Sprintf(", burst %d", l.Burst)
+	}
+	if l.MaxRequestBytes > 0 {
+		text += fmt.Sprintf(", body at most %d bytes", l.MaxRequestBytes)
+	}
+	return text
+}
