Add metrics of propagation and overrides, and the page about all metrics

Cause: a daemon that misses or refuses values, or that lost the platform, showed it in its status only, so no alert could be set; and no page said what a metric means. Change: metrics for missing, refused and conflicting values, the platform (age, down, behind), failing peers, peer bytes, ejections and overrides. docs/metrics.md gives unit, meaning and what to do. The modes are counted once per scrape; before, each of the seven modes asked all backend servers again. Ruled out: labels per backend server (14,000 series per mode over the fleet) and per customer; a gauge callback per field of the status (each would take the lock of the propagation and count the values). Check: TestMetricsPageIsComplete compares the page with the names of a daemon and with those in the source.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"runtime"
 	"time"
 
@@ -24,9 +25,41 @@
 	set.NewGauge("cowslip_limits_customers", func() float64 { return float64(d.shares.Customers()) })
 	set.NewGauge("cowslip_platform_calls", func() float64 { return float64(d.platform.calls()) })
 	set.NewGauge("cowslip_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
-	for mode := ejection.Warming; mode <= ejection.Draining; mode++ {
-		set.NewGauge(fmt.Sprintf(`cowslip_backend_servers{mode=%q}`, mode), func() float64 { return float64(d.countMode(mode)) })
+	set.RegisterMetricsWriter(d.writeConfigMetrics)
+	set.RegisterMetricsWriter(d.writeBackendMetrics)
+}
+
+// writeConfigMetrics writes what the status of the propagation holds. One status serves all of them, because it takes the lock
+// of the propagation and counts the values.
+func (d *Daemon) writeConfigMetrics(w io.Writer) {
+	st := d.sync.Status()
+	metrics.WriteGaugeUint64(w, "cowslip_config_values_missing", uint64(max(st.IndexValues-st.Held, 0)))
+	metrics.WriteGaugeUint64(w, "cowslip_config_values_refused", uint64(len(st.Refused)))
+	metrics.WriteGaugeUint64(w, "cowslip_config_conflicts", uint64(len(st.Conflicts)))
+	metrics.WriteGaugeFloat64(w, "cowslip_platform_age_seconds", st.Platform.Age.Seconds())
+	metrics.WriteGaugeFloat64(w, "cowslip_platform_down", boolGauge(st.Platform.Down))
+	metrics.WriteGaugeFloat64(w, "cowslip_platform_behind", boolGauge(st.Platform.Behind))
+	metrics.WriteGaugeUint64(w, "cowslip_peers_failing", uint64(len(st.Members.Failing)))
+	metrics.WriteCounterUint64(w, "cowslip_peer_bytes_sent_total", st.Bytes.Sent)
+	metrics.WriteCounterUint64(w, "cowslip_peer_bytes_received_total", st.Bytes.Received)
+}
+
+// writeBackendMetrics counts the backend servers of this VM by mode, and their ejections.
+func (d *Daemon) writeBackendMetrics(w io.Writer) {
+	var counts [ejection.Draining + 1]uint64
+	ejections, overrides := 0, uint64(0)
+	for _, e := range d.home.Explain(time.Now()) {
+		counts[e.Ejection.State.Mode]++
+		ejections += e.Ejection.Ejections
+		if e.Ejection.Override != ejection.NoOverride {
+			overrides++
+		}
 	}
+	for mode, n := range counts {
+		metrics.WriteGaugeUint64(w, fmt.Sprintf(`cowslip_backend_servers{mode=%q}`, ejection.Mode(mode)), n)
+	}
+	metrics.WriteGaugeUint64(w, "cowslip_backend_overrides", overrides)
+	metrics.WriteGaugeUint64(w, "cowslip_backend_ejections", uint64(ejections))
 }
 
 func boolGauge(v bool) float64 {
@@ -36,16 +69,6 @@
 	return 0
 }
 
-func (d *Daemon) countMode(mode ejection.Mode) int {
-	n := 0
-	for _, e := range d.home.Explain(time.Now()) {
-		if e.Ejection.State.Mode == mode {
-			n++
-		}
-	}
-	return n
-}
-
 // requestMetrics counts callers' requests by how they ended.
 type requestMetrics struct{ set *metrics.Set }
 
--- /dev/null
+++ b/internal/daemon/metrics_test.go
@@ -0,0 +1,81 @@
+package daemon
+
+import (
+	"io/fs"
+	"maps"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+)
+
+// Guards against a metric without an explanation in docs/metrics.md, and against an explanation of one that does not exist. The
+// names of a running daemon and those in the source must both be on the page.
+func TestMetricsPageIsComplete(t *testing.T) {
+	page := rowsOfMetricsPage(t)
+	d := newIdle(t)
+	requests := requestMetrics{d.metrics}
+	requests.Answered("stock", time.Millisecond, 2)
+	requests.Refused(errkind.NoBackend)
+	var out strings.Builder
+	operator{d}.WriteMetrics(&out)
+	registered := map[string]bool{}
+	for line := range strings.Lines(out.String()) {
+		name, _, _ := strings.Cut(strings.Fields(line)[0], "{")
+		for _, suffix := range []string{"_bucket", "_sum", "_count"} {
+			name = strings.TrimSuffix(name, suffix)
+		}
+		registered[name] = true
+	}
+	if got := slices.Sorted(maps.Keys(registered)); !slices.Equal(got, page) {
+		t.Errorf("a daemon has the metrics %v\nthe page has %v", got, page)
+	}
+	if got := metricsInSource(t); !slices.Equal(got, page) {
+		t.Errorf("the source names the metrics %v\nthe page has %v", got, page)
+	}
+}
+
+func rowsOfMetricsPage(t *testing.T) []string {
+	t.Helper()
+	data, err := os.ReadFile("../../docs/metrics.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var rows []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `(cowslip_[a-z_]+)` \\|(.*)\\|$").FindAllStringSubmatch(string(data), -1) {
+		rows = append(rows, row[1])
+		for _, cell := range strings.Split(row[2], "|") {
+			if strings.TrimSpace(cell) == "" {
+				t.Errorf("the row of %s has an empty cell", row[1])
+			}
+		}
+	}
+	slices.Sort(rows)
+	return rows
+}
+
+// metricsInSource finds the names in string literals of all packages, also those that are registered at their first use only.
+func metricsInSource(t *testing.T) []string {
+	t.Helper()
+	names := map[string]bool{}
+	literal := regexp.MustCompile("[\"`](cowslip_[a-z_]+)")
+	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		for _, found := range literal.FindAllStringSubmatch(string(data), -1) {
+			names[found[1]] = true
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return slices.Sorted(maps.Keys(names))
+}
