--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -32,6 +32,8 @@
 	since  time.Time
 	stats  Stats
 	random *rand.Rand
+	// journal receives the name of each operation that runs, one a line.
+	journal io.Writer
 }
 
 // Stats counts what the server did.
@@ -73,6 +75,14 @@
 	s.faults, s.since = f, time.Now()
 }
 
+// SetJournal makes the server write the name of each operation to w before it runs. A file keeps them when the process is
+// killed, which loses the counters.
+func (s *Server) SetJournal(w io.Writer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.journal = w
+}
+
 // Stats returns a copy of the counters.
 func (s *Server) Stats() Stats {
 	s.mu.Lock()
@@ -157,7 +167,10 @@
 		return
 	}
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
-		s.count(func(st *Stats) { st.Executions[operationName(r)]++ })
+		if err := s.execute(operationName(r)); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
 	}
 	if !s.delay(r, p) {
 		return
@@ -174,6 +187,18 @@
 	s.answer(w, append(body, '\n'), p)
 }
 
+// execute counts one run of an operation.
+func (s *Server) execute(name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Executions[name]++
+	if s.journal == nil {
+		return nil
+	}
+	_, err := io.WriteString(s.journal, name+"\n")
+	return err
+}
+
 // operationName names an operation in the counters: the X-Operation header of the test, or the path.
 func operationName(r *http.Request) string {
 	if name := r.Header.Get("X-Operation"); name != "" {
--- a/internal/standin/fleet/daemon.go
+++ b/internal/standin/fleet/daemon.go
@@ -46,7 +46,7 @@
 func (f *Fleet) settings(vm contract.VM) settingsFile {
 	s := settingsFile{
 		VM: vm.VM, DataCentre: vm.DataCentre, Region: f.regionOf(vm.DataCentre),
-		Listen:   settings.Listen{Callers: f.callers[vm.VM], Peer: vm.PeerAddress, Admin: vm.AdminAddress},
+		Listen:   settings.Listen{Callers: f.callers[vm.VM], Peer: f.peerListen(vm), Admin: vm.AdminAddress},
 		Platform: platformSettings{URLs: []string{f.PlatformURL()}},
 		Log:      settings.Log{Level: "info", Format: "logfmt"},
 	}
@@ -54,15 +54,18 @@
 		if other.VM == vm.VM {
 			continue
 		}
-		address := other.PeerAddress
-		if f.opts.Reach != nil {
-			address = f.opts.Reach(vm, other)
-		}
-		s.SeedPeers = append(s.SeedPeers, settings.SeedPeer{Address: address, DataCentre: other.DataCentre})
+		s.SeedPeers = append(s.SeedPeers, settings.SeedPeer{Address: other.PeerAddress, DataCentre: other.DataCentre})
 	}
 	return s
 }
 
+func (f *Fleet) peerListen(vm contract.VM) string {
+	if f.opts.PeerListen != nil {
+		return f.opts.PeerListen(vm)
+	}
+	return vm.PeerAddress
+}
+
 func (f *Fleet) regionOf(dataCentre string) string {
 	for _, dc := range f.documents.DataCentres {
 		if dc.DataCentre == dataCentre {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -44,9 +44,9 @@
 	Documents contract.Documents
 	// Callers returns the callers' address of a VM. Default: a free loopback address.
 	Callers func(vm string) string
-	// Reach returns the address at which from reaches the peer listener of the VM to, to lead traffic through a relay. It is
-	// used for seed peers only. Default: the address of the VM document.
-	Reach func(from, to contract.VM) string
+	// PeerListen returns the address on which the daemon of a VM listens for peers, when the address of the VM document is
+	// that of a relay. Default: the address of the VM document.
+	PeerListen func(vm contract.VM) string
 }
 
 // Fleet is a running fleet.
@@ -173,7 +173,7 @@
 
 // StartBackend starts the stand-in of a backend server.
 func (f *Fleet) StartBackend(b contract.BackendServer) error {
-	p, err := start(b.ID, f.opts.Dir, f.program("standin-backend"), "--id", b.ID, "--listen", b.Address)
+	p, err := start(b.ID, f.opts.Dir, f.program("standin-backend"), "--id", b.ID, "--listen", b.Address, "--journal", f.journal(b.ID))
 	if err != nil {
 		return err
 	}
@@ -181,6 +181,23 @@
 	return f.await(context.Background(), p, "http://"+b.Address+"/healthz")
 }
 
+func (f *Fleet) journal(id string) string { return filepath.Join(f.opts.Dir, id+".executions") }
+
+// Executions counts, per operation name, how often operations ran at all backend servers, those that were killed included.
+func (f *Fleet) Executions() (map[string]int, error) {
+	counts := map[string]int{}
+	for id := range f.Backends {
+		data, err := os.ReadFile(f.journal(id))
+		if err != nil {
+			return nil, err
+		}
+		for name := range strings.Lines(string(data)) {
+			counts[strings.TrimSpace(name)]++
+		}
+	}
+	return counts, nil
+}
+
 func (f *Fleet) program(name string) string { return filepath.Join(f.opts.Bin, name) }
 
 // WaitReady waits until a daemon has a configuration.
--- a/internal/standin/fleet/layout.go
+++ b/internal/standin/fleet/layout.go
@@ -15,7 +15,7 @@
 	DataCentres []contract.DataCentre
 	VMs         int
 	Services    []contract.Service
-	// BackendsPerService is the number of backend servers of each service.
+	// BackendsPerService is the number of backend servers of each service that lists none.
 	BackendsPerService int
 	Slots              int
 	Contracts          []contract.Contract
@@ -40,7 +40,16 @@
 	at := 0
 	for _, svc := range l.Services {
 		svc.APIVersion, svc.Kind, svc.Generation = contract.APIVersion, contract.KindService, max(svc.Generation, 1)
+		listed := svc.BackendServers
+		svc.BackendServers = nil
+		for _, b := range listed {
+			b.Address = free()
+			svc.BackendServers = append(svc.BackendServers, b)
+		}
 		for i := range l.BackendsPerService {
+			if len(listed) > 0 {
+				break
+			}
 			svc.BackendServers = append(svc.BackendServers, contract.BackendServer{
 				ID: fmt.Sprintf("%s-%d", svc.Service, i+1), VM: docs.VMs[at%l.VMs].VM, Address: free(), Slots: l.Slots,
 			})
--- a/internal/standin/fleet/process.go
+++ b/internal/standin/fleet/process.go
@@ -50,6 +50,16 @@
 // Signal sends a signal to this process only.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// PID returns the id of the process.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
+// Err returns how the process ended: nil while it runs and after exit status 0.
+func (p *Process) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.err
+}
+
 // Exited is closed when the process has ended.
 func (p *Process) Exited() <-chan struct{} { return p.exited }
 
@@ -64,9 +74,7 @@
 	p.Signal(syscall.SIGTERM) //nolint:errcheck // the wait below tells whether it ended
 	select {
 	case <-p.exited:
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		return p.err
+		return p.Err()
 	case <-time.After(killAfter):
 		p.Kill()
 		return fmt.Errorf("%s did not stop within %s", p.Name, killAfter)
