Measure the error share of a baseline over 2 s and 5 s

Cause: over 5 s alone the share follows a burst of errors of the whole service late, so at 10 requests a second error evidence of healthy backend servers grew meanwhile. Change: the stand-in entry reports the larger of the shares over 2 s and over 5 s.

--- a/internal/ejection/measure/entry.go
+++ b/internal/ejection/measure/entry.go
@@ -26,29 +26,31 @@
 	h.next = (h.next + 1) % recentSamples
 }
 
-// figures returns the median service time over the last few seconds and the answers and failures of a longer time, since
-// failures are rare.
-func (h *history) figures(now time.Duration) (median time.Duration, answers, failed int) {
+// figures returns the median service time over the last few seconds and the failures of that and of a longer time.
+func (h *history) figures(now time.Duration) figures {
 	var times [recentSamples]time.Duration
+	var f figures
 	n := 0
 	for i := range h.ring {
 		a := &h.ring[i]
 		if a.took == 0 || now-a.at > recentErrors {
 			continue
 		}
-		answers++
-		if a.failed {
-			failed++
-		} else if now-a.at <= recent {
+		f.long.add(a.failed)
+		if now-a.at > recent {
+			continue
+		}
+		f.short.add(a.failed)
+		if !a.failed {
 			times[n] = a.took
 			n++
 		}
 	}
-	if n == 0 {
-		return 0, answers, failed
+	if n > 0 {
+		slices.Sort(times[:n])
+		f.median = times[n/2]
 	}
-	slices.Sort(times[:n])
-	return times[n/2], answers, failed
+	return f
 }
 
 // entry keeps the histories of one entry and reports baselines from them.
@@ -60,8 +62,18 @@
 }
 
 type figures struct {
-	median          time.Duration
-	answers, failed int
+	median      time.Duration
+	short, long tally
+}
+
+// tally counts answers and the failures among them.
+type tally struct{ answers, failed int }
+
+func (t *tally) add(failed bool) {
+	t.answers++
+	if failed {
+		t.failed++
+	}
 }
 
 func newEntry(members int) *entry {
@@ -72,10 +84,9 @@
 func (e *entry) prepare(now time.Duration) {
 	e.medians = e.medians[:0]
 	for i := range e.histories {
-		f := &e.own[i]
-		f.median, f.answers, f.failed = e.histories[i].figures(now)
-		if f.median > 0 {
-			e.medians = append(e.medians, f.median)
+		e.own[i] = e.histories[i].figures(now)
+		if e.own[i].median > 0 {
+			e.medians = append(e.medians, e.own[i].median)
 		}
 	}
 	slices.Sort(e.medians)
@@ -99,17 +110,23 @@
 	return ejection.Baseline{Median: medians[mid], ErrorShare: e.errorShare(i), Members: n}
 }
 
-// errorShare returns the share of failures of the backend servers other than i. The one with the most failures is left
-// out, so that one failing backend server does not hide another.
+// errorShare returns the share of failures of the backend servers other than i: the larger of a short time, which follows
+// a burst of errors of the whole service, and of a longer time, which covers low request rates.
 func (e *entry) errorShare(i int) float64 {
-	var all, worst figures
-	for j, f := range e.own {
+	return max(e.pooled(i, func(f *figures) tally { return f.short }), e.pooled(i, func(f *figures) tally { return f.long }))
+}
+
+// pooled leaves out the backend server with the most failures, so that one failing backend server does not hide another.
+func (e *entry) pooled(i int, pick func(*figures) tally) float64 {
+	var all, worst tally
+	for j := range e.own {
 		if j == i {
 			continue
 		}
-		all.answers, all.failed = all.answers+f.answers, all.failed+f.failed
-		if f.failed > worst.failed {
-			worst = f
+		t := pick(&e.own[j])
+		all.answers, all.failed = all.answers+t.answers, all.failed+t.failed
+		if t.failed > worst.failed {
+			worst = t
 		}
 	}
 	if all.answers == worst.answers {
