Judge windows after 0.9 s in fast-detection and let a window add 3

Cause: baselines follow a load swing about one second late, longer than the settle time of 0.5 s, so healthy backend servers gathered latency evidence during each swing. A longer settle time costs detection time, which a higher cap per window gives back: six windows reach the threshold instead of eight, and still no single pause can.

--- a/internal/ejection/config.go
+++ b/internal/ejection/config.go
@@ -100,8 +100,8 @@
 
 var presets = map[string]Config{
 	FastDetection: {
-		Window: 0.1, Settle: 0.5,
-		SlowRatio: 1.5, Drift: 0.5, Clip: 2, EvidenceCap: 2, RecoveryCap: 2, LatencyThreshold: 16,
+		Window: 0.1, Settle: 0.9,
+		SlowRatio: 1.5, Drift: 0.5, Clip: 2, EvidenceCap: 3, RecoveryCap: 2, LatencyThreshold: 16,
 		MinSpread: 0.5, MaxSpread: 1.5, MinSamples: 12, MinMembers: 3, BaselineAge: 5,
 		ErrorFloor: 0.002, ErrorMargin: 1.5, ErrorRatio: 8, ErrorThreshold: 10, InvalidWeight: 2,
 		ColdStart: 20, SuspectShare: 0.5, ClearShare: 0.4,
--- a/internal/ejection/measure/member.go
+++ b/internal/ejection/measure/member.go
@@ -181,6 +181,9 @@
 		m.busy--
 		m.slots[j] = m.slots[m.busy]
 		s.entries[f.entry].histories[i].add(answer{f.finish, f.sample.ServiceTime, f.sample.Result != ejection.OK})
+		if !s.watched(i) {
+			continue
+		}
 		at := epoch.Add(f.finish)
 		for _, d := range m.subjects {
 			d.observe(at, f.sample)
