--- a/internal/ejection/measure/run.go
+++ b/internal/ejection/measure/run.go
@@ -17,16 +17,20 @@
 	Trials int
 	// Workers is the number of goroutines.
 	Workers int
+	// OwnOnly ends each trial when package ejection has detected, without waiting for the comparison detectors.
+	OwnOnly bool
+	// Chunk is the length of one healthy stream; long runs are many streams with different members and load swings.
+	// Default: 4 h.
+	Chunk time.Duration
 	// Override replaces single numbers of each preset.
 	Override map[string]float64
 }
 
 const (
-	settleTime = 10 * time.Second // after the cold start, before a fault may start
-	onsetRange = 20 * time.Second
-	trialLimit = 60 * time.Second
-	// chunk is the length of one healthy stream; long runs are many streams with different members and levels of load.
-	chunk = 4 * time.Hour
+	settleTime   = 10 * time.Second // after the cold start, before a fault may start
+	onsetRange   = 20 * time.Second
+	trialLimit   = 60 * time.Second
+	defaultChunk = 4 * time.Hour
 )
 
 // Detection is the outcome of the trials of one scenario for one detector.
@@ -60,7 +64,7 @@
 		return [detectors]Detection{}, err
 	}
 	results := make([]trial, o.Trials)
-	parallel(o.Workers, o.Trials, func(i int) { results[i] = runTrial(sc, cfg, o.Seed+uint64(i)*7919) })
+	parallel(o.Workers, o.Trials, func(i int) { results[i] = runTrial(sc, cfg, o.Seed+uint64(i)*7919, o.OwnOnly) })
 	var out [detectors]Detection
 	for d := range out {
 		out[d].Trials = o.Trials
@@ -82,7 +86,7 @@
 	return cfg.Override(o.Override)
 }
 
-func runTrial(sc Scenario, cfg ejection.Config, seed uint64) trial {
+func runTrial(sc Scenario, cfg ejection.Config, seed uint64, ownOnly bool) trial {
 	s := newService(sc, cfg, seed)
 	warm := time.Duration(cfg.ColdStart*float64(time.Second)) + settleTime
 	onset := (warm + time.Duration(s.rng.Float64()*float64(onsetRange))).Truncate(tick)
@@ -106,7 +110,7 @@
 				waiting++
 			}
 		}
-		if waiting == 0 {
+		if waiting == 0 || ownOnly && r[ownDetector] != never {
 			break
 		}
 	}
@@ -154,6 +158,10 @@
 	if err != nil {
 		return [detectors]Count{}, err
 	}
+	chunk := o.Chunk
+	if chunk <= 0 {
+		chunk = defaultChunk
+	}
 	perChunk := chunk.Hours() / 24 * float64(sc.Shape.Members)
 	n := int(math.Ceil(days / perChunk))
 	events, byErrors := make([][detectors]int, n), make([]int, n)
--- a/internal/ejection/measure/table.go
+++ b/internal/ejection/measure/table.go
@@ -172,24 +172,30 @@
 	return nil
 }
 
-// WriteVerdict compares the false ejections of a preset with its target. The target of few-false-ejections is met only
-// when the upper confidence bound meets it; the measured rate alone shows too little when few events were seen.
+// WriteVerdict compares the false ejections of a preset with its target. The target of few-false-ejections counts as met
+// only when the upper confidence bound meets it, since a rate from few days says little.
 func WriteVerdict(w io.Writer, preset string, sum [detectors]Count) {
 	own, tight, loose := sum[ownDetector], sum[comparisonTight], sum[comparisonLoose]
 	fmt.Fprintf(w, "\n`%s`, all healthy streams: %d false ejections in %.0f backend-server days; 95 %% upper bound %.2g per 1,000 days. ",
 		preset, own.Events, own.Days, 1000*own.UpperPerDay())
 	fmt.Fprintf(w, "Comparison: %d (3×) and %d (10×). ", tight.Events, loose.Events)
-	met := own.Events < tight.Events && own.Events < loose.Events
-	target := "fewer than the comparison detectors"
-	if preset == ejection.FewFalseEjections {
-		met = own.UpperPerDay() <= falseTarget
-		target = "at most 1 per 1,000 days, by the upper bound"
-	}
-	if met {
-		fmt.Fprintf(w, "Target (%s): met.\n", target)
+	if preset != ejection.FewFalseEjections {
+		fmt.Fprintf(w, "Target (fewer than the comparison detectors): %s.\n",
+			outcome(own.Events < tight.Events && own.Events < loose.Events, false))
 		return
 	}
-	fmt.Fprintf(w, "Target (%s): **missed**.\n", target)
+	fmt.Fprintf(w, "Target (at most 1 per 1,000 days): %s.\n",
+		outcome(own.UpperPerDay() <= falseTarget, own.PerDay() <= falseTarget))
+}
+
+func outcome(met, withinMeasured bool) string {
+	switch {
+	case met:
+		return "met"
+	case withinMeasured:
+		return "met by the measured rate, **not shown** by the upper bound"
+	}
+	return "**missed**"
 }
 
 // WriteNumbers writes the numbers of both presets as a Markdown table.
