Begin a cold start when a backend server restarts under a running home

Cause: a backend server that restarts while its home goes on is slow at first, which counted as evidence. Change: Restarted begins a cold start, at most once per hold-off-decay. Ruled out: no limit on restarts, because a backend server that restarts in a loop would never be judged. Measured: unit and property tests only.

--- a/internal/ejection/backend.go
+++ b/internal/ejection/backend.go
@@ -130,6 +130,20 @@
 // Tick lets time pass.
 func (b *Backend) Tick(now time.Time) { b.advance(now) }
 
+// Restarted begins a cold start for a backend server that was restarted while its home went on. It is ignored while the
+// backend server is suspect or out of service, and for hold-off-decay after the previous cold start, so that one that
+// restarts again and again is still judged.
+func (b *Backend) Restarted(now time.Time) {
+	now = b.advance(now)
+	if b.mode != Active || now.Sub(b.warm) < seconds(b.cfg.HoldOffDecay) {
+		return
+	}
+	b.warm = now.Add(seconds(b.cfg.ColdStart))
+	b.det.reset()
+	b.enter(Warming, now)
+	b.step(now)
+}
+
 // Drain makes the backend server leave. There is no way back.
 func (b *Backend) Drain(now time.Time) {
 	now = b.advance(now)
--- a/internal/ejection/backend_test.go
+++ b/internal/ejection/backend_test.go
@@ -97,7 +97,8 @@
 				m.permit = m.now.Add(time.Duration(rapid.IntRange(-1000, 5000).Draw(t, "ms")) * time.Millisecond)
 				m.b.Permit(m.now, m.permit)
 			},
-			"probe": func(t *rapid.T) { m.b.ProbeResult(m.now, rapid.Bool().Draw(t, "ok")) },
+			"probe":   func(t *rapid.T) { m.b.ProbeResult(m.now, rapid.Bool().Draw(t, "ok")) },
+			"restart": func(*rapid.T) { m.b.Restarted(m.now) },
 			"override": func(t *rapid.T) {
 				m.b.SetOverride(m.now, Override(rapid.IntRange(0, 2).Draw(t, "override")))
 			},
--- a/internal/ejection/baseline.go
+++ b/internal/ejection/baseline.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maxEntries bounds the baselines that are kept. The median over 32 entries is as good as one over all entries of a large
-// fleet, and the work per window stays small.
+// maxEntries bounds the baselines that are kept, since the median over them is computed twice per window. With more entries
+// the latest ones count.
 const maxEntries = 32
 
 // Baseline is what one entry reports about the other backend servers of the service.
--- a/internal/ejection/detector.go
+++ b/internal/ejection/detector.go
@@ -81,7 +81,6 @@
 	errors   sum
 	centre   float64 // learned mean of the log ratio
 	spread   float64 // learned mean absolute deviation of the log ratio
-	learned  int
 	ratio    float64 // recent mean of the clipped log ratio, for operators
 	errShare float64 // recent error share, for operators
 	ref      reference
@@ -206,7 +205,6 @@
 	dev := min(max(x-d.centre, -3), 3)
 	d.centre += spreadWeight * dev
 	d.spread += spreadWeight * (math.Abs(dev) - d.spread)
-	d.learned++
 }
 
 func (d *detector) judgeErrors(w *window, ref reference) {
--- a/internal/ejection/detector_test.go
+++ b/internal/ejection/detector_test.go
@@ -71,6 +71,25 @@
 	}
 }
 
+// Guards against judging a backend server while it warms up after its own restart, and against one that is never judged
+// because it restarts again and again.
+func TestRestartIsAColdStartOnce(t *testing.T) {
+	b, now := ready(t, FastDetection)
+	now = drive(b, now, 2*time.Minute, false, steady(10*time.Millisecond))
+	b.Restarted(now)
+	now = drive(b, now, 10*time.Second, false, steady(time.Second))
+	if s := b.State(now); s.Mode != Warming {
+		t.Fatalf("after a restart: %+v", s)
+	}
+	for range 30 {
+		b.Restarted(now)
+		now = drive(b, now, time.Second, false, steady(time.Second/10))
+	}
+	if s := b.State(now); s.Mode != Suspect {
+		t.Errorf("restarting each second: %+v", s)
+	}
+}
+
 // Guards against ejecting on a handful of bad requests, each in a window of its own.
 func TestFewSamplesDoNotEject(t *testing.T) {
 	for _, name := range []string{FastDetection, FewFalseEjections} {
--- a/internal/ejection/measure/member.go
+++ b/internal/ejection/measure/member.go
@@ -197,10 +197,16 @@
 		out := subj.out()
 		if out && !m.wasOut[d] {
 			m.ejections[d]++
-			if e := m.own.Explain(at); d == ownDetector && e.Errors.Value >= e.Errors.Threshold {
-				m.byErrors++
+			if d == ownDetector {
+				m.countCause(at)
 			}
 		}
 		m.wasOut[d] = out
 	}
 }
+
+func (m *member) countCause(at time.Time) {
+	if e := m.own.Explain(at).Errors; e.Value >= e.Threshold {
+		m.byErrors++
+	}
+}
