--- a/internal/ejection/measure/table.go
+++ b/internal/ejection/measure/table.go
@@ -124,9 +124,9 @@
 		return ""
 	}
 	if t, ok := d.Quantile(0.99); ok && t <= limit {
-		return fmt.Sprintf("p99 ≤ %s: met", limit)
+		return fmt.Sprintf("p99 ≤ %g s: met", limit.Seconds())
 	}
-	return fmt.Sprintf("p99 ≤ %s: **missed**", limit)
+	return fmt.Sprintf("p99 ≤ %g s: **missed**", limit.Seconds())
 }
 
 // WriteHealthy runs the healthy scenarios of a shape, writes one Markdown table and returns the sum over its rows.
