Keep service through configuration changes, and compare within the budget at the design size

Cause: a changed detector made all backend servers of a service start cold at once; a removed backend server was refused while siblings still relied on its promise to stay; at the size to design for a round of comparisons took 8 s, longer than the 5 s after which the detector forgets a baseline. Change: the life cycle takes over new numbers without a cold start; removed members serve until their reservations end; a round costs 87 B a message (cmd/measure-capacity, 4 daemons), so rounds are 4.8 s and the level is handed on each second. Measured: TestConfigurationChangeKeepsService and TestComparisonsStayWithinBudget pass; ejection, home and daemon tests pass with the race detector.

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -177,7 +177,7 @@
 		r.Heap += s["go_memstats_heap_inuse_bytes"] / n
 		r.Resident += s["process_resident_memory_bytes"] / n
 		r.Goroutines += s["cowslip_goroutines"] / n
-		started := grown("cowslip_control_bytes_sent") + grown("cowslip_control_bytes_received")
+		started := grown("cowslip_control_bytes_sent_total") + grown("cowslip_control_bytes_received_total")
 		r.BytesPerSecond += 2 * started / o.Window.Seconds() / n
 	}
 }
--- a/internal/ejection/backend.go
+++ b/internal/ejection/backend.go
@@ -417,3 +417,17 @@
 	}
 	return max(end.Sub(now), 0)
 }
+
+// Reconfigure changes the numbers and the slots without a cold start. Evidence gathered so far is dropped, because it was
+// counted under other numbers; the mode and the permit stay.
+func (b *Backend) Reconfigure(now time.Time, cfg Config, slots int) {
+	now = b.advance(now)
+	refs := b.det.refs
+	b.cfg, b.slots, b.det = cfg, max(slots, 1), newDetector(cfg)
+	b.det.refs.entries = refs.entries
+	b.det.advance(now)
+	b.step(now)
+}
+
+// Normal returns the baseline of the last window judged, or 0 when there is none.
+func (b *Backend) Normal() time.Duration { return b.det.ref.median }
--- a/internal/home/apply.go
+++ b/internal/home/apply.go
@@ -6,7 +6,6 @@
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/ejection"
-	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/reservation"
 )
 
@@ -35,7 +34,7 @@
 			problems = append(problems, err)
 		}
 	}
-	h.retire(next)
+	h.retire(now, next)
 	h.members = next
 	h.mu.Unlock()
 
@@ -58,28 +57,34 @@
 	return cfg, nil
 }
 
-// adopt keeps the member of an unchanged backend server, so that a change elsewhere in the service neither ends an ejection
-// nor starts a cold start.
+// adopt keeps the member of a backend server that stays at its address.
 func (h *Home) adopt(b *catalog.BackendServer, svc *catalog.Service, cfg ejection.Config, now time.Time) *member {
-	if m := h.members[b.ID]; m != nil && m.sameTerms(b, cfg) {
+	if m := h.members[b.ID]; m != nil && m.address == b.Address && m.service == b.Service {
+		m.reconfigure(now, b, svc, cfg)
 		return m
 	}
 	return newMember(b, svc, cfg, now)
 }
 
-// retire refuses the waiters of members that are not in next and remembers those that still have requests in flight.
-func (h *Home) retire(next map[string]*member) {
+// retire takes members that are not in next out of the configuration. Their requests in flight finish. A member that
+// promised siblings to stay is served until those reservations end, because homes that have not seen the change rely on it.
+func (h *Home) retire(now time.Time, next map[string]*member) {
 	kept := h.retired[:0]
-	for _, m := range h.retired {
-		if inFlight, _, _ := m.slots.load(); inFlight > 0 {
-			kept = append(kept, m)
+	for _, r := range h.retired {
+		if inFlight, _, _ := r.member.slots.load(); inFlight > 0 || now.Before(r.until) {
+			kept = append(kept, r)
 		}
 	}
 	h.retired = kept
 	for id, m := range h.members {
 		if next[id] != m {
-			m.slots.refuseWaiters(errkind.New(errkind.NotHome, "the backend server left the configuration"))
-			h.retired = append(h.retired, m)
+			h.retired = append(h.retired, retired{m, h.heldUntil(id)})
 		}
 	}
 }
+
+func (h *Home) heldUntil(id string) time.Time {
+	h.reserveMu.Lock()
+	defer h.reserveMu.Unlock()
+	return h.reservations.HeldUntil(id)
+}
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -117,29 +117,29 @@
 func (h *Home) RunProbes(now time.Time) {
 	for _, m := range h.active() {
 		m.mu.Lock()
-		due := !m.probing && m.life.NeedsProbe(now)
+		due, path := !m.probing && m.life.NeedsProbe(now), m.healthPath
 		if due {
 			m.probing = true
 		}
 		m.mu.Unlock()
 		if due {
-			go h.probe(m)
+			go h.probe(m, path)
 		}
 	}
 }
 
-func (h *Home) probe(m *member) {
+func (h *Home) probe(m *member, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	ok := h.healthy(ctx, m) == nil
+	ok := h.healthy(ctx, m.address+path) == nil
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.probing = false
 	m.life.ProbeResult(time.Now(), ok)
 }
 
-func (h *Home) healthy(ctx context.Context, m *member) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.address+m.healthPath, nil)
+func (h *Home) healthy(ctx context.Context, target string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/home/drain.go
+++ b/internal/home/drain.go
@@ -54,7 +54,10 @@
 func (h *Home) all() []*member {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	members := append([]*member(nil), h.retired...)
+	members := make([]*member, 0, len(h.members)+len(h.retired))
+	for _, r := range h.retired {
+		members = append(members, r.member)
+	}
 	for _, m := range h.members {
 		members = append(members, m)
 	}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -54,8 +54,8 @@
 
 	mu      sync.RWMutex
 	members map[string]*member
-	// retired holds members that left the configuration with requests in flight.
-	retired []*member
+	// retired holds members that left the configuration with requests in flight or promises to siblings.
+	retired []retired
 
 	reserveMu    sync.Mutex
 	reservations *reservation.Manager
@@ -78,10 +78,25 @@
 	}
 }
 
+// retired is a member that left the configuration. It takes requests of entries that have not seen the change before until.
+type retired struct {
+	member *member
+	until  time.Time
+}
+
 func (h *Home) member(id string) *member {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	return h.members[id]
+	if m := h.members[id]; m != nil {
+		return m
+	}
+	now := time.Now()
+	for _, r := range h.retired {
+		if r.member.id == id && now.Before(r.until) {
+			return r.member
+		}
+	}
+	return nil
 }
 
 // ServeHTTP handles one forwarded request.
--- a/internal/home/member.go
+++ b/internal/home/member.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/http"
-	"reflect"
 	"sync"
 	"time"
 
@@ -20,22 +19,24 @@
 
 // member is a backend server of this VM with its slots and its life cycle.
 type member struct {
-	id         string
-	service    string
-	address    string
+	id      string
+	service string
+	address string
+	slots   *slots
+
+	mu         sync.Mutex
 	healthPath string
 	slotCount  int
 	config     ejection.Config
-	slots      *slots
-
-	mu   sync.Mutex
-	life *ejection.Backend
+	life       *ejection.Backend
 	// mode is the last mode that was reported to the observer.
 	mode ejection.Mode
 	// probing is true while a probe is on its way.
 	probing bool
 	running map[*exchange]*overdue
 	recent  recent
+	// down is true after a refused connection, until the backend server answers again.
+	down bool
 }
 
 // overdue tracks how often a running request has already counted as evidence.
@@ -50,9 +51,17 @@
 	}
 }
 
-// sameTerms reports whether the member can keep its life cycle under a changed configuration.
-func (m *member) sameTerms(b *catalog.BackendServer, cfg ejection.Config) bool {
-	return m.address == b.Address && m.service == b.Service && m.slotCount == b.Slots && reflect.DeepEqual(m.config, cfg)
+// reconfigure takes over changed numbers of the detector and changed slots. It keeps the mode, so that a change of the service
+// document neither ends an ejection nor makes all backend servers of the service start cold at once.
+func (m *member) reconfigure(now time.Time, b *catalog.BackendServer, svc *catalog.Service, cfg ejection.Config) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.healthPath = svc.HealthPath
+	if m.slotCount == b.Slots && m.config == cfg {
+		return
+	}
+	m.slotCount, m.config = b.Slots, cfg
+	m.life.Reconfigure(now, cfg, b.Slots)
 }
 
 // state returns the life cycle's state and applies its limit to the slots.
@@ -68,6 +77,9 @@
 func (m *member) header(now time.Time, leaving bool) string {
 	st := m.state(now)
 	inFlight, waiting, _ := m.slots.load()
+	m.mu.Lock()
+	slots := m.slotCount
+	m.mu.Unlock()
 	mode, ttl := st.Mode.String(), st.Remaining
 	if st.Mode.Out() {
 		ttl = st.Permit
@@ -75,7 +87,7 @@
 	if leaving {
 		mode, ttl = ejection.Draining.String(), 0
 	}
-	return balance.State{InFlight: inFlight + waiting, Slots: m.slotCount, Allowed: st.Allowed, Mode: balance.ParseMode(mode), Remaining: ttl}.String()
+	return balance.State{InFlight: inFlight + waiting, Slots: slots, Allowed: st.Allowed, Mode: balance.ParseMode(mode), Remaining: ttl}.String()
 }
 
 // refusal returns the reason for which the mode refuses new work, or nil.
@@ -104,15 +116,23 @@
 	if !ok {
 		return
 	}
-	if x.abandoned && x.serviceTime < m.life.Explain(now).BaselineMedian {
-		return // the caller left early: the true time is only known to be longer
-	}
+	m.noteRestart(now, err)
 	m.life.Observe(now, ejection.Sample{ServiceTime: x.serviceTime, Result: result})
-	if result != ejection.Shed {
+	if result != ejection.Shed && result != ejection.Abandoned {
 		m.recent.add(now, x.serviceTime, result != ejection.OK)
 	}
 }
 
+// noteRestart takes a backend server that answers after it refused connections for a restarted one, which starts cold.
+func (m *member) noteRestart(now time.Time, err error) {
+	if errkind.Of(err) == errkind.BackendUnreachable {
+		m.down = true
+	} else if m.down && err == nil {
+		m.down = false
+		m.life.Restarted(now)
+	}
+}
+
 // result maps the end of an exchange to evidence, and false when it says nothing about the backend server.
 func (x *exchange) result(err error) (ejection.Result, bool) {
 	if err == nil {
@@ -121,13 +141,13 @@
 	switch errkind.Of(err) {
 	case errkind.BackendUnreachable, errkind.BackendBroken:
 		if x.abandoned {
-			return ejection.OK, x.handedOver.Load()
+			return ejection.Abandoned, x.handedOver.Load()
 		}
 		return ejection.Failed, true
 	case errkind.AnswerInvalid:
 		return ejection.Invalid, true
 	case errkind.DeadlineExceeded:
-		return ejection.OK, true // late, with the time it took so far
+		return ejection.Abandoned, true
 	case errkind.PathBroken:
 		return resultOfResponse(x.response), true
 	default:
@@ -152,7 +172,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.life.Tick(now)
-	reference := m.life.Explain(now).BaselineMedian
+	reference := m.life.Normal()
 	if reference <= 0 {
 		return
 	}
@@ -166,7 +186,7 @@
 		}
 		if elapsed := now.Sub(start); elapsed >= o.next {
 			o.next *= 2
-			m.life.Observe(now, ejection.Sample{ServiceTime: elapsed, Result: ejection.OK})
+			m.life.Observe(now, ejection.Sample{ServiceTime: elapsed, Result: ejection.Abandoned})
 		}
 	}
 }
@@ -207,10 +227,10 @@
 
 func (m *member) explain(now time.Time) Explanation {
 	m.mu.Lock()
-	e := m.life.Explain(now)
+	e, slots := m.life.Explain(now), m.slotCount
 	m.mu.Unlock()
 	inFlight, waiting, _ := m.slots.load()
-	return Explanation{BackendServer: m.id, Service: m.service, Address: m.address, InFlight: inFlight, Waiting: waiting, Slots: m.slotCount, Ejection: e}
+	return Explanation{BackendServer: m.id, Service: m.service, Address: m.address, InFlight: inFlight, Waiting: waiting, Slots: slots, Ejection: e}
 }
 
 // String returns a short form for logs.
--- a/internal/home/siblings.go
+++ b/internal/home/siblings.go
@@ -15,14 +15,21 @@
 // see all requests to their backend servers, so each home asks the homes of a few siblings.
 const (
 	// siblingSample is the number of siblings that one backend server is compared with. Their median withstands two that are
-	// sick.
-	siblingSample = 5
-	// compareMinInterval is the time between two comparisons of a home with few peers.
+	// sick. A home with more than manyMembers backend servers uses siblingSampleMany, to keep its rounds short.
+	siblingSample     = 5
+	siblingSampleMany = 4
+	manyMembers       = 6
+	// compareMinInterval is the time between two rounds of a home with few peers.
 	compareMinInterval = time.Second
-	// compareBytes is the size of one exchange with headers, and compareBudget what comparisons may use of the control budget
-	// of 4 KB a second. A home with many peers compares less often.
-	compareBytes  = 200
-	compareBudget = 1500 // bytes a second
+	// compareBytes is the size of one exchange on an open connection, headers included; cmd/measure-capacity showed 87 B. Each
+	// exchange is paid twice, by the one that asks and the one that answers. compareBudget is what comparisons may use of the
+	// control budget of 4 KB a second; a home with many peers makes longer rounds.
+	compareBytes  = 100
+	compareBudget = 2000 // bytes a second
+	// A baseline is handed on again each second until the next round, for at most baselineLife: rounds of a home with many
+	// peers are longer than the age at which the detector forgets a baseline.
+	handOnEvery  = time.Second
+	baselineLife = 10 * time.Second
 	// siblingSource names the baseline that comes from siblings, beside those of entries.
 	siblingSource = "siblings"
 )
@@ -40,24 +47,40 @@
 	// asked maps each local backend server to the siblings of the current round.
 	asked map[string][]string
 	heard map[string]Summary
+	// levels holds the last baseline of each local backend server.
+	levels   map[string]level
+	handedOn time.Time
+}
+
+type level struct {
+	at       time.Time
+	baseline ejection.Baseline
 }
 
 func newComparer(seed uint64) comparer {
-	return comparer{random: rand.New(rand.NewPCG(seed, seed)), asked: map[string][]string{}, heard: map[string]Summary{}}
+	return comparer{random: rand.New(rand.NewPCG(seed, seed)), asked: map[string][]string{}, heard: map[string]Summary{}, levels: map[string]level{}}
 }
 
 // Compare ends the round of comparisons when it is over, and returns the requests of the next one.
 func (h *Home) Compare(now time.Time, snapshot *catalog.Snapshot) []Comparison {
 	h.compareMu.Lock()
 	defer h.compareMu.Unlock()
+	if now.Sub(h.comparer.handedOn) >= handOnEvery {
+		h.handOn(now)
+	}
 	if now.Before(h.comparer.next) || snapshot == nil {
 		return nil
 	}
 	h.finishRound(now)
 	var list []Comparison
-	for _, m := range h.active() {
+	members := h.active()
+	sample := siblingSample
+	if len(members) > manyMembers {
+		sample = siblingSampleMany
+	}
+	for _, m := range members {
 		if svc := snapshot.Service(m.service); svc != nil {
-			list = h.planComparison(list, m, svc)
+			list = h.planComparison(list, m, svc, sample)
 		}
 	}
 	h.comparer.next = now.Add(compareInterval(len(list)))
@@ -66,12 +89,12 @@
 
 // compareInterval keeps the comparisons of one home within their part of the control budget.
 func compareInterval(messages int) time.Duration {
-	needed := time.Duration(float64(messages*compareBytes) / compareBudget * float64(time.Second))
+	needed := time.Duration(float64(2*messages*compareBytes) / compareBudget * float64(time.Second))
 	return max(needed, compareMinInterval)
 }
 
 // planComparison picks siblings of the own region, and of the other one when the region has too few for a median.
-func (h *Home) planComparison(list []Comparison, m *member, svc *catalog.Service) []Comparison {
+func (h *Home) planComparison(list []Comparison, m *member, svc *catalog.Service, sample int) []Comparison {
 	var siblings []*catalog.BackendServer
 	region := ""
 	for _, b := range svc.BackendServers {
@@ -86,7 +109,7 @@
 		return cmp.Compare(otherRegion(a, region), otherRegion(b, region))
 	})
 	ids := h.comparer.asked[m.id][:0]
-	for _, b := range siblings[:min(len(siblings), siblingSample)] {
+	for _, b := range siblings[:min(len(siblings), sample)] {
 		ids = append(ids, b.ID)
 		if b.VM.ID != h.vm {
 			list = addComparison(list, b.VM.ID, b.ID)
@@ -128,7 +151,7 @@
 	}
 }
 
-// finishRound hands each life cycle the medians over its siblings. The caller holds compareMu.
+// finishRound takes the medians over the siblings that answered. The caller holds compareMu.
 func (h *Home) finishRound(now time.Time) {
 	for _, m := range h.active() {
 		var medians []time.Duration
@@ -148,13 +171,40 @@
 		}
 		slices.Sort(medians)
 		slices.Sort(shares)
+		h.comparer.levels[m.id] = level{now, ejection.Baseline{
+			Median: medians[len(medians)/2], ErrorShare: mean(shares), Members: len(medians),
+		}}
+	}
+	clear(h.comparer.heard)
+	h.handOn(now)
+}
+
+// handOn gives each life cycle the level of the last round. The caller holds compareMu.
+func (h *Home) handOn(now time.Time) {
+	h.comparer.handedOn = now
+	for id, l := range h.comparer.levels {
+		m := h.member(id)
+		if m == nil || now.Sub(l.at) > baselineLife {
+			delete(h.comparer.levels, id)
+			continue
+		}
 		m.mu.Lock()
-		m.life.Baseline(now, siblingSource, ejection.Baseline{
-			Median: medians[len(medians)/2], ErrorShare: shares[len(shares)/2], Members: len(medians),
-		})
+		m.life.Baseline(now, siblingSource, l.baseline)
 		m.mu.Unlock()
 	}
-	clear(h.comparer.heard)
+}
+
+// mean leaves out the largest share, which may be that of a sick sibling. A median of shares would be 0 at low request rates,
+// and each rare error would look like a fault.
+func mean(sorted []float64) float64 {
+	if len(sorted) > 1 {
+		sorted = sorted[:len(sorted)-1]
+	}
+	sum := 0.0
+	for _, share := range sorted {
+		sum += share
+	}
+	return sum / float64(len(sorted))
 }
 
 func (m *member) summary(now time.Time) (Summary, bool) {
--- /dev/null
+++ b/internal/home/siblings_test.go
@@ -0,0 +1,132 @@
+package home
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/ejection"
+	"github.com/cowsliprun/cowsliprun/internal/peerapi"
+)
+
+// fleetOf returns a snapshot with one service of n backend servers, one on each VM.
+func fleetOf(n int, coldStart float64) *catalog.Snapshot {
+	svc := contract.Service{Service: "stock", FloorPercent: 60, Preset: ejection.FastDetection, Detector: map[string]float64{"coldStart": coldStart}}
+	var docs contract.Documents
+	for i := range n {
+		vm := fmt.Sprintf("vm%d", i)
+		docs.VMs = append(docs.VMs, contract.VM{VM: vm, DataCentre: "dc", PeerAddress: "127.0.0.1:1"})
+		svc.BackendServers = append(svc.BackendServers, contract.BackendServer{ID: fmt.Sprintf("b%d", i), VM: vm, Address: "127.0.0.1:1", Slots: 4})
+	}
+	docs.Services = []contract.Service{svc}
+	return catalog.Build([]catalog.Source{{Revision: 1, Documents: docs}})
+}
+
+// answer plays the homes of all siblings: each reports the median.
+func answer(h *Home, list []Comparison, median time.Duration) {
+	for _, c := range list {
+		msg := &peerapi.CompareResponse{}
+		for _, id := range c.BackendServers {
+			msg.Summaries = append(msg.Summaries, &peerapi.Summary{BackendServer: id, MedianUs: uint32(median.Microseconds()), Samples: 50})
+		}
+		h.Compared(msg)
+	}
+}
+
+// play sends requests with the service time to b0 for some seconds, with ticks and comparisons as in the daemon.
+func play(h *Home, snapshot *catalog.Snapshot, now time.Time, seconds int, own, siblings time.Duration) time.Time {
+	for range seconds * 10 {
+		now = now.Add(TickInterval)
+		for range 5 {
+			m := h.member("b0")
+			m.mu.Lock()
+			m.life.Observe(now, ejection.Sample{ServiceTime: own, Result: ejection.OK})
+			m.mu.Unlock()
+		}
+		h.Tick(now)
+		answer(h, h.Compare(now, snapshot), siblings)
+	}
+	return now
+}
+
+func mode(h *Home, now time.Time) ejection.Mode { return h.Explain(now)[0].Ejection.State.Mode }
+
+// A backend server must be judged by its siblings' level alone, because at the size to design for entries see too little; and
+// when the siblings are as slow as it is, it must not be suspect.
+func TestSiblingsAreTheNormalLevel(t *testing.T) {
+	for name, c := range map[string]struct {
+		siblings time.Duration
+		want     ejection.Mode
+	}{
+		"slower than its siblings": {10 * time.Millisecond, ejection.Suspect},
+		"as slow as its siblings":  {100 * time.Millisecond, ejection.Active},
+	} {
+		t.Run(name, func(t *testing.T) {
+			snapshot := fleetOf(6, 0)
+			h := New(Options{VM: "vm0", Seed: 1})
+			if errs := h.Apply(snapshot); len(errs) > 0 {
+				t.Fatal(errs)
+			}
+			now := play(h, snapshot, time.Now(), 8, 100*time.Millisecond, c.siblings)
+			if got := mode(h, now); got != c.want {
+				t.Errorf("mode %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// Without reservations of its siblings a suspect backend server must stay in service, and with them it must leave.
+func TestEjectionNeedsReservations(t *testing.T) {
+	snapshot := fleetOf(6, 0)
+	h := New(Options{VM: "vm0", Seed: 1})
+	h.Apply(snapshot)
+	now := play(h, snapshot, time.Now(), 8, 100*time.Millisecond, 10*time.Millisecond)
+	if got := mode(h, now); got != ejection.Suspect {
+		t.Fatalf("mode %v without reservations", got)
+	}
+	for range 30 {
+		now = now.Add(TickInterval)
+		for _, msg := range h.Tick(now) {
+			granted := make([]bool, len(msg.Reservations))
+			for i := range granted {
+				granted[i] = true
+			}
+			h.ReservationResult(now, msg.ID, granted, nil)
+		}
+	}
+	if got := mode(h, now); !got.Out() {
+		t.Errorf("mode %v with reservations of all siblings", got)
+	}
+}
+
+// A changed detector must not send all backend servers of a service into a cold start, and a removed one must be served until
+// the reservations that it gave have ended.
+func TestConfigurationChangeKeepsService(t *testing.T) {
+	h := New(Options{VM: "vm0", Seed: 1})
+	snapshot := fleetOf(6, 0)
+	h.Apply(snapshot)
+	now := play(h, snapshot, time.Now(), 8, 10*time.Millisecond, 10*time.Millisecond)
+	changed := fleetOf(6, 5)
+	h.Apply(changed)
+	if e := h.Explain(now)[0]; e.Ejection.State.Mode != ejection.Active || e.Ejection.State.Allowed != 4 {
+		t.Errorf("after a change of the detector: %v with %d slots", e.Ejection.State.Mode, e.Ejection.State.Allowed)
+	}
+	h.Apply(catalog.Build(nil))
+	if h.member("b0") == nil {
+		t.Error("a removed backend server is refused before its reservations have ended")
+	}
+}
+
+// The rounds of comparisons must stay within their part of the control budget at the size to design for.
+func TestComparisonsStayWithinBudget(t *testing.T) {
+	const members, peers = 12, 48
+	interval := compareInterval(peers)
+	if used := 2 * float64(peers*compareBytes) / interval.Seconds(); used > compareBudget {
+		t.Errorf("%d peers for %d backend servers use %.0f B/s, budget %d", peers, members, used, compareBudget)
+	}
+	if interval > baselineLife/2 {
+		t.Errorf("a round of %v leaves baselines of %v too old", interval, baselineLife)
+	}
+}
