--- a/internal/ctl/audit.go
+++ b/internal/ctl/audit.go
@@ -42,7 +42,7 @@
 		p.String(&f.actor, "", "actor", "only entries with this text in the actor, such as operator, platform, detector")
 		p.Bool(&f.refused, "", "refused", "only changes that were refused")
 		p.Duration(&f.last, "", "last", "only entries of this time span until now, such as 1h")
-		p.Int(&f.count, "", "count", "end after this many entries")
+		p.Int(&f.count, "", "count", "only the newest entries, this many; with --follow: end after this many")
 		return func(out *output, args []string) int { return runAudit(out, args, t, f) }
 	},
 }
@@ -93,7 +93,7 @@
 	}
 	slices.SortStableFunc(result.Entries, func(a, b audit.Entry) int { return a.Time.Compare(b.Time) })
 	if f.count > 0 && len(result.Entries) > f.count {
-		result.Entries = result.Entries[:f.count]
+		result.Entries = result.Entries[len(result.Entries)-f.count:]
 	}
 	out.result(result, func(w io.Writer) {
 		for _, e := range result.Entries {
@@ -198,7 +198,10 @@
 	if !e.Accepted {
 		verdict = "REFUSED"
 	}
-	text := fmt.Sprintf("%s  %-10s %-8s  %-14s  %s: %s", e.Time.UTC().Format("2006-01-02T15:04:05.000Z"), e.VM, verdict, e.Action, e.Actor, e.Subject)
+	text := fmt.Sprintf("%s  %-10s %-8s  %-14s  %s", e.Time.UTC().Format("2006-01-02T15:04:05.000Z"), e.VM, verdict, e.Action, e.Actor)
+	if e.Subject != "" {
+		text += ": " + e.Subject
+	}
 	if e.From != "" || e.To != "" {
 		text += fmt.Sprintf(", %s to %s", orNone(e.From), orNone(e.To))
 	}
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -148,7 +148,7 @@
 		[]string{"error evidence", evidenceText(e.Errors)},
 		[]string{"", fmt.Sprintf("recent error share %.4f, normal %.4f", e.ErrorShare, e.NormalErrorShare)},
 		[]string{"hold-off", holdOffText(e)},
-		[]string{"probes", fmt.Sprintf("%d passed in a row of %d needed", e.ProbesPassed, e.ProbesNeeded)},
+		[]string{"probes", probesText(e)},
 		[]string{"reservations", reservationText(b)},
 		[]string{"load", fmt.Sprintf("%d in flight, %d waiting, %d of %d slots allowed", b.InFlight, b.Waiting, e.State.Allowed, b.Slots)},
 		[]string{"history", fmt.Sprintf("%d ejections and %d pauses of the process since the daemon started", e.Ejections, e.Pauses)},
@@ -163,6 +163,14 @@
 	return text
 }
 
+// probesText shows the probes passed only while probes run. In other modes the count is that of the last time.
+func probesText(e admin.Ejection) string {
+	if e.State.Mode != "probing" {
+		return fmt.Sprintf("%d in a row are needed after a hold-off", e.ProbesNeeded)
+	}
+	return fmt.Sprintf("%d passed in a row of %d needed", e.ProbesPassed, e.ProbesNeeded)
+}
+
 func holdOffText(e admin.Ejection) string {
 	next := "the next one lasts " + shortText(e.NextHoldOff)
 	if e.State.Mode == "ejected" && e.State.Remaining > 0 {
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -157,6 +157,9 @@
 		},
 		Members: admin.Members(s.Members),
 	}
+	if !s.Platform.Heard {
+		out.Platform.Age = 0 // the time since a moment that never was
+	}
 	for _, r := range s.Refused {
 		out.Refused = append(out.Refused, admin.RefusedValue{Value: r.Name, Revision: r.Revision, InForce: r.InForce, Reason: r.Reason})
 	}
--- a/internal/daemon/admin_test.go
+++ b/internal/daemon/admin_test.go
@@ -113,6 +113,9 @@
 	if err := json.Unmarshal(w.Body.Bytes(), &st); err != nil || st.Ready || st.Reason == "" || st.VM != "vm1" || time.Since(st.Started) > time.Hour {
 		t.Errorf("%v, %s", err, w.Body)
 	}
+	if st.Configuration.Platform.Age != 0 {
+		t.Errorf("the age of a platform that was never heard is %s", st.Configuration.Platform.Age)
+	}
 	if list := (operator{d}).VMs(); list == nil || len(list) != 0 {
 		t.Errorf("VMs without a configuration: %v", list)
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -36,7 +36,11 @@
 	metrics.WriteGaugeUint64(w, "cowslip_config_values_missing", uint64(max(st.IndexValues-st.Held, 0)))
 	metrics.WriteGaugeUint64(w, "cowslip_config_values_refused", uint64(len(st.Refused)))
 	metrics.WriteGaugeUint64(w, "cowslip_config_conflicts", uint64(len(st.Conflicts)))
-	metrics.WriteGaugeFloat64(w, "cowslip_platform_age_seconds", st.Platform.Age.Seconds())
+	age := st.Platform.Age
+	if !st.Platform.Heard {
+		age = 0 // the time since a moment that never was
+	}
+	metrics.WriteGaugeFloat64(w, "cowslip_platform_age_seconds", age.Seconds())
 	metrics.WriteGaugeFloat64(w, "cowslip_platform_down", boolGauge(st.Platform.Down))
 	metrics.WriteGaugeFloat64(w, "cowslip_platform_behind", boolGauge(st.Platform.Behind))
 	metrics.WriteGaugeUint64(w, "cowslip_peers_failing", uint64(len(st.Members.Failing)))
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -24,6 +24,9 @@
 	requests.Refused(errkind.NoBackend)
 	var out strings.Builder
 	operator{d}.WriteMetrics(&out)
+	if !strings.Contains(out.String(), "cowslip_platform_age_seconds 0\n") {
+		t.Error("the age of a platform that was never heard is not 0")
+	}
 	registered := map[string]bool{}
 	for line := range strings.Lines(out.String()) {
 		name, _, _ := strings.Cut(strings.Fields(line)[0], "{")
