Let the limit of a wait end the pauses only

Cause: the limit of cowslipctl wait also cut the calls of the first round. On a busy machine a short limit then named daemons as unreachable that lag, or ended with status 3 instead of 4, and the scripts with a limit of 400 ms depended on speed. Ruled out: a longer limit in the scripts (still a bound on time). Change: calls have their own time limit; the limit is looked at between rounds, so the first round is always whole.

--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -94,8 +94,10 @@
 	if index := slices.IndexFunc(q.values, func(v string) bool { return !isValueName(v) }); index >= 0 {
 		return out.usage("%q is not a value; write for example vms, services/12, contracts/007 or index", q.values[index])
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), q.limit)
+	// The limit ends the pauses, not the calls: a round that it cut would call every daemon unreachable.
+	limit, cancel := context.WithTimeout(context.Background(), q.limit)
 	defer cancel()
+	ctx := context.Background()
 	c, err := t.resolve(ctx)
 	if err != nil {
 		return out.fail(statusOf(err), "%v", err)
@@ -104,12 +106,9 @@
 	start := time.Now()
 	result := waitResult{NotAsked: c.silent}
 	for {
-		states := q.judge(ask(ctx, c.targets, t.timeout, getHeld))
-		if ctx.Err() == nil || len(result.Daemons) == 0 {
-			result.Daemons = states // a round that the limit cut would call every daemon unreachable
-		}
+		result.Daemons = q.judge(ask(ctx, c.targets, t.timeout, getHeld))
 		result.InForce = !slices.ContainsFunc(result.Daemons, func(s waitState) bool { return s.Lacks != "" })
-		if result.InForce || !pause(ctx, pollInterval) {
+		if result.InForce || !pause(limit, pollInterval) {
 			break
 		}
 	}
--- a/internal/daemon/admin_test.go
+++ b/internal/daemon/admin_test.go
@@ -37,15 +37,9 @@
 // tried on the admin listener, so that a path that exists nowhere does not pass.
 func TestAdminPathsExistOnTheAdminListenerOnly(t *testing.T) {
 	d := newIdle(t)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- d.Run(ctx) }()
-	defer func() {
-		stop()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	}()
+	d.serve()
+	defer d.close()
+	ctx := context.Background()
 	callers, peer, adminAddr := d.Addresses()
 	h2c := new(http.Protocols)
 	h2c.SetUnencryptedHTTP2(true)
