--- a/internal/daemon/admin_test.go
+++ b/internal/daemon/admin_test.go
@@ -37,15 +37,9 @@
 // tried on the admin listener, so that a path that exists nowhere does not pass.
 func TestAdminPathsExistOnTheAdminListenerOnly(t *testing.T) {
 	d := newIdle(t)
-	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- d.Run(ctx) }()
-	defer func() {
-		stop()
-		if err := <-done; err != nil {
-			t.Error(err)
-		}
-	}()
+	d.serve()
+	defer d.close()
+	ctx := context.Background()
 	callers, peer, adminAddr := d.Addresses()
 	h2c := new(http.Protocols)
 	h2c.SetUnencryptedHTTP2(true)
@@ -113,6 +107,9 @@
 	if err := json.Unmarshal(w.Body.Bytes(), &st); err != nil || st.Ready || st.Reason == "" || st.VM != "vm1" || time.Since(st.Started) > time.Hour {
 		t.Errorf("%v, %s", err, w.Body)
 	}
+	if st.Configuration.Platform.Age != 0 {
+		t.Errorf("the age of a platform that was never heard is %s", st.Configuration.Platform.Age)
+	}
 	if list := (operator{d}).VMs(); list == nil || len(list) != 0 {
 		t.Errorf("VMs without a configuration: %v", list)
 	}
--- a/internal/daemon/metrics_test.go
+++ b/internal/daemon/metrics_test.go
@@ -24,6 +24,9 @@
 	requests.Refused(errkind.NoBackend)
 	var out strings.Builder
 	d.metrics.WritePrometheus(&out) // the go_ and process_ metrics of the library are its own
+	if !strings.Contains(out.String(), "cowslip_platform_age_seconds 0\n") {
+		t.Error("the age of a platform that was never heard is not 0")
+	}
 	registered := map[string]bool{}
 	for line := range strings.Lines(out.String()) {
 		name, _, _ := strings.Cut(strings.Fields(line)[0], "{")
