Tell the caller unknown when any try of its request may have run

Cause: after a try that may have run, a refusal of the next try was passed on as not run. Found by reading; the new test TestRefusalAfterUncertainTryIsUnknown fails without the change (told "not-run" although a backend server had the request). Ruled out: forbidding the second try (the request is repeatable; only what is told was wrong). Also: the peer listener ends last in a drain, because operations that other entries sent to this daemon as owner may still run.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -161,7 +161,7 @@
 	})
 }
 
-// drain lets the home finish, then the callers' side. Both share the stop limit of the settings.
+// drain lets the home finish, then the callers' side, then the peers. All share the stop limit of the settings.
 func (d *Daemon) drain() {
 	defer close(d.drained)
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Limits.DrainStopLimit))
@@ -172,6 +172,10 @@
 	if err := d.listeners.callers.Shutdown(ctx); err != nil {
 		d.log.Part("daemon").Warn("The stop limit cuts requests of callers.", "limit", d.settings.Limits.DrainStopLimit)
 	}
+	// The peer listener ends last: operations that other entries sent to this daemon as their owner may still run.
+	if err := d.listeners.peer.Shutdown(ctx); err != nil {
+		d.log.Part("daemon").Warn("The stop limit cuts requests of other daemons.", "limit", d.settings.Limits.DrainStopLimit)
+	}
 }
 
 func (d *Daemon) modeChanged(backend, service string, from, to ejection.Mode, reason string) {
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -31,6 +31,7 @@
 	entries  []*httptest.Server
 	homes    []*home.Home
 	backends []*backend.Server
+	servers  []*httptest.Server
 	// addresses are those of the backend servers.
 	addresses []string
 	// stops close the peer listeners with all connections, as a kill of the daemon does.
@@ -59,6 +60,7 @@
 		t.Cleanup(front.Close)
 		p.entries, p.stops = append(p.entries, front), append(p.stops, stop)
 		p.homes, p.backends = append(p.homes, h), append(p.backends, b)
+		p.servers = append(p.servers, srv)
 		p.addresses = append(p.addresses, srv.Listener.Addr().String())
 		docs.VMs = append(docs.VMs, contract.VM{VM: vm, DataCentre: "dc1", PeerAddress: address})
 		svc.BackendServers = append(svc.BackendServers, contract.BackendServer{ID: fmt.Sprintf("b%d", i), VM: vm, Address: p.addresses[i], Slots: backendSlots})
@@ -238,6 +240,45 @@
 	}
 }
 
+// A lookup whose first try may have run and whose second one is refused must not be reported as not run.
+func TestRefusalAfterUncertainTryIsUnknown(t *testing.T) {
+	p := newPath(t, 2)
+	p.setFaults(backend.Faults{CutShare: 1})
+	p.servers[1].Close()
+	for range 30 {
+		before := p.backends[0].Stats().Requests
+		resp, body, err := p.do(t, "GET", "/stock/7", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		reached := p.backends[0].Stats().Requests > before
+		if told := resp.Header.Get(forward.HeaderOutcome); reached && told != "unknown" {
+			t.Fatalf("told %q although a backend server had the request: %s", told, body)
+		}
+	}
+	if p.backends[0].Stats().Requests == 0 {
+		t.Error("no request reached the backend server that cuts its answers")
+	}
+}
+
+// A large upload that a draining home refuses must reach another home whole, because the refusal comes before its body is read.
+func TestRefusedLargeUploadIsTriedElsewhere(t *testing.T) {
+	p := newPath(t, 2)
+	if err := p.homes[0].Drain(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	upload := bytes.Repeat([]byte("linen"), 600000)
+	for range 6 {
+		resp, body, err := p.do(t, "PUT", "/manifest", bytes.NewReader(upload))
+		if err != nil || resp.StatusCode != 200 || !strings.Contains(string(body), fmt.Sprint(len(upload))) {
+			t.Fatalf("%v %v %s", err, resp, body)
+		}
+	}
+	if n := p.backends[1].Stats().Executions["/manifest"]; n != 6 {
+		t.Errorf("%d executions of 6 uploads", n)
+	}
+}
+
 // An operation that is not safe to repeat must not be tried again once it was handed over.
 func TestFailedOperationIsNotRepeated(t *testing.T) {
 	p := newPath(t, 3)
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -43,31 +43,56 @@
 		Customer: c.customer.Name, Service: c.service.Name, Repeatable: c.repeatable, Deadline: deadline,
 		BudgetPercent: c.customer.RetryBudgetPercent,
 	})
-	var last error
+	var failures failures
 	for {
 		now := time.Now()
 		choice, err := e.balancer.Pick(now, balance.PickRequest{Service: c.service, Spill: c.customer.SpillToOtherRegion, Exclude: attempt.Exclude()})
 		if err != nil {
-			if last != nil {
-				return nil, last // the failure of a try tells more than the lack of another candidate
-			}
-			return nil, err
+			return nil, failures.final(err)
 		}
 		t := &try{
 			call: c, backend: choice.Backend, vm: choice.Backend.VM.ID, address: choice.Backend.VM.PeerAddress, entry: e,
 			choice: choice, number: attempt.Tries(),
 		}
-		last = e.once(ctx, r, t)
-		if last == nil {
+		err = e.once(ctx, r, t)
+		if err == nil {
 			return t, nil
 		}
-		failure := retry.Failure{Backend: choice.Backend.ID, Kind: errkind.Of(last), BodyConsumed: !c.body.repeatable()}
+		failures.add(err)
+		failure := retry.Failure{Backend: choice.Backend.ID, Kind: errkind.Of(err), BodyConsumed: !c.body.repeatable()}
 		if e.budgets.Next(time.Now(), &attempt, failure) != retry.Retry {
-			return nil, last
+			return nil, failures.final(err)
 		}
 	}
 }
 
+// failures remembers how the tries of one request ended.
+type failures struct {
+	last error
+	// mayHaveRun is the last failure after which the request may have run.
+	mayHaveRun error
+}
+
+func (f *failures) add(err error) {
+	f.last = err
+	if errkind.Of(err).Answer().Outcome != errkind.NotRun {
+		f.mayHaveRun = err
+	}
+}
+
+// final returns the error for the caller. A refusal after a try that may have run must not tell the caller "not run", and the
+// failure of a try tells more than the lack of another candidate.
+func (f *failures) final(err error) error {
+	switch {
+	case f.mayHaveRun != nil:
+		return f.mayHaveRun
+	case f.last != nil:
+		return f.last
+	default:
+		return err
+	}
+}
+
 // once runs one try and reports its end to the balancer.
 func (e *Entry) once(ctx context.Context, r *http.Request, t *try) error {
 	tryCtx, cancel := context.WithCancelCause(ctx)
--- a/internal/home/siblings_test.go
+++ b/internal/home/siblings_test.go
@@ -40,7 +40,7 @@
 	for range seconds * 10 {
 		now = now.Add(TickInterval)
 		for range 5 {
-			m := h.member("b0")
+			m := h.active()[0]
 			m.mu.Lock()
 			m.life.Observe(now, ejection.Sample{ServiceTime: own, Result: ejection.OK})
 			m.mu.Unlock()
