Reach admin listeners that a VM document names by host name

Ruled out: accepting the names of the VM documents at the listener (a page could use one of them); looking the name up in the tool (the order of addresses would be lost). Change: the tool sends Host localhost for a host name. A browser cannot choose the Host, so the rule against pages holds. Check: the new test fails with status 403 without the change.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -99,6 +99,9 @@
 	if in != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
+	if host, _, err := net.SplitHostPort(c.address); err == nil && net.ParseIP(host) == nil {
+		request.Host = "localhost" // the listener refuses other names, because a web page could use them; a tool may choose
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return c.unreachable(err)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cowsliprun/cowsliprun/internal/admin"
 )
 
 func TestMain(m *testing.M) {
@@ -113,3 +115,25 @@
 		t.Errorf("a good call gives %v, %v", out, err)
 	}
 }
+
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Guards against VM documents whose admin address is a host name, which the admin listener refuses in the Host header.
+func TestHostNamesAreServedByTheAdminListener(t *testing.T) {
+	fleet := newFakeFleet()
+	defer fleet.close()
+	handler := admin.Handler(fleet.daemons["vm1"])
+	for _, address := range []string{"vm-17.example:7002", "10.0.0.17:7002", "[::1]:7002", "localhost:7002"} {
+		c := newClient(address, time.Minute)
+		c.http.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+			w := httptest.NewRecorder()
+			handler.ServeHTTP(w, r)
+			return w.Result(), nil
+		})
+		if st, err := getStatus(context.Background(), c); err != nil || st.VM != "vm1" {
+			t.Errorf("%s: %v", address, err)
+		}
+	}
+}
