--- a/cmd/cowslipctl/main.go
+++ b/cmd/cowslipctl/main.go
@@ -1,4 +1,5 @@
-// Command cowslipctl checks, compares and renders the documents of a proxy fleet. docs/cowslipctl.md describes it.
+// Command cowslipctl checks, compares and renders the documents of a proxy fleet, and asks its daemons. docs/cowslipctl.md
+// describes it.
 package main
 
 import (
