Admit only other daemons to the peer listener

Cause: forwarded requests carry no API key, so whoever reached the peer listener could use every service without a contract, act as any customer, and push configuration. Change: the listener serves IP addresses of VMs in force, of seed peers and of the new setting peerNetworks. Others get 403 with the new kind not_peer (not run, may be tried elsewhere) and a log line, at most 5 in 10 s for one address. Before a configuration is held, Exchange, Push and Pull are served to seed peers and peerNetworks only. Ruled out: serving the start messages to any address, because a forged push at a high revision could never be taken back; resolving host names, because the answer could change with each look-up; a plain 403, because an entry would have to take it for a broken path with an unknown outcome. TestAdminPathsExistOnTheAdminListenerOnly now makes the tester a peer, since otherwise the new check would refuse everything on the peer listener and the test could not fail there.

--- a/internal/daemon/admin_test.go
+++ b/internal/daemon/admin_test.go
@@ -13,6 +13,8 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/cowsliprun/cowsliprun/internal/admin"
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/settings"
 )
 
@@ -46,6 +48,10 @@
 			t.Error(err)
 		}
 	}()
+	// With the tester as a peer, the peer listener's own routes decide and not its check of addresses.
+	d.guard.update(catalog.Build([]catalog.Source{{Revision: 1, Documents: contract.Documents{
+		VMs: []contract.VM{{VM: "vm1", DataCentre: "dc1", PeerAddress: "127.0.0.1:1"}},
+	}}}))
 	callers, peer, adminAddr := d.Addresses()
 	h2c := new(http.Protocols)
 	h2c.SetUnencryptedHTTP2(true)
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -52,6 +52,7 @@
 		for _, err := range d.home.Apply(snapshot) {
 			d.log.Part("home").Warn("Detector settings are not usable.", "err", err)
 		}
+		d.guard.update(snapshot)
 		d.sync.SetDirectory(directoryOf(snapshot))
 		d.updatePlan(snapshot)
 		select {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 	askShares chan struct{}
 	ready     atomic.Bool
 
+	guard     *peerGuard
 	drainOnce sync.Once
 	drained   chan struct{}
 	listeners listeners
@@ -89,6 +90,7 @@
 		Limiter: &limiter{user: d.shares, ask: d.askShares}, Transport: forward.NewPeerTransport(nil),
 		Observer: requestMetrics{d.metrics}, Seed: d.incarnation,
 	})
+	d.guard = newPeerGuard(s, log.Part("peer"))
 	d.addGauges()
 	return d, d.listen()
 }
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -46,7 +46,7 @@
 	}
 	l.callersOn = netutil.LimitListener(l.callersOn, d.settings.Limits.MaxConnections)
 	l.callers = callersServer(d.settings.Limits, d.entry.Handler())
-	l.peer = peerServer(d.settings.Limits, peerHandler(d.home, http.HandlerFunc(d.entry.ServeOperation), d.controlHandler()))
+	l.peer = peerServer(d.settings.Limits, d.guard.wrap(peerHandler(d.home, http.HandlerFunc(d.entry.ServeOperation), d.controlHandler())))
 	l.admin = &http.Server{Handler: admin.Handler(operator{d}), ReadHeaderTimeout: time.Duration(d.settings.Limits.HeaderTimeout), MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes}
 	return nil
 }
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -40,36 +40,67 @@
 // backendSlots is low enough that a few requests fill a backend server.
 const backendSlots = 2
 
+// pathOptions change the fleet of a test.
+type pathOptions struct {
+	// peer, backend and callers wrap the handlers of all peer listeners, backend servers and callers' listeners.
+	peer, backend, callers func(http.Handler) http.Handler
+	// service holds the settings of the service.
+	service contract.Service
+	// slots of each backend server. Default: backendSlots.
+	slots int
+	// retryBudgetPercent is that of the contract, nil for the default.
+	retryBudgetPercent *int
+}
+
+func (o *pathOptions) fill() {
+	for _, wrap := range []*func(http.Handler) http.Handler{&o.peer, &o.backend, &o.callers} {
+		if *wrap == nil {
+			*wrap = func(h http.Handler) http.Handler { return h }
+		}
+	}
+	if o.slots == 0 {
+		o.slots = backendSlots
+	}
+	o.service.Service = "stock"
+}
+
 func newPath(t testing.TB, vms int) *path {
 	t.Helper()
+	return newPathWith(t, vms, pathOptions{})
+}
+
+func newPathWith(t testing.TB, vms int, o pathOptions) *path {
+	t.Helper()
+	o.fill()
 	p := &path{}
 	digest := sha256.Sum256([]byte(testKey))
-	svc := contract.Service{Service: "stock"}
+	svc := o.service
 	var docs contract.Documents
 	var current atomic.Pointer[catalog.Snapshot]
 	for i := range vms {
 		vm := fmt.Sprintf("vm%d", i)
 		b := backend.New(fmt.Sprintf("b%d", i), 1)
-		srv := httptest.NewServer(b.Handler())
+		srv := httptest.NewServer(o.backend(b.Handler()))
 		t.Cleanup(srv.Close)
 		h := home.New(home.Options{VM: vm})
 		e := entry.New(entry.Options{VM: vm, Snapshot: current.Load, Incarnation: uint64(i + 1), Leaving: h.Leaving})
-		address, stop := serveHTTP2(t, peerHandler(h, http.HandlerFunc(e.ServeOperation), http.NotFoundHandler()))
-		front := httptest.NewServer(e.Handler())
+		address, stop := serveHTTP2(t, o.peer(peerHandler(h, http.HandlerFunc(e.ServeOperation), http.NotFoundHandler())))
+		front := httptest.NewServer(o.callers(e.Handler()))
 		t.Cleanup(front.Close)
 		p.entries, p.stops = append(p.entries, front), append(p.stops, stop)
 		p.homes, p.backends = append(p.homes, h), append(p.backends, b)
 		p.addresses = append(p.addresses, srv.Listener.Addr().String())
 		docs.VMs = append(docs.VMs, contract.VM{VM: vm, DataCentre: "dc1", PeerAddress: address})
-		svc.BackendServers = append(svc.BackendServers, contract.BackendServer{ID: fmt.Sprintf("b%d", i), VM: vm, Address: p.addresses[i], Slots: backendSlots})
+		svc.BackendServers = append(svc.BackendServers, contract.BackendServer{ID: fmt.Sprintf("b%d", i), VM: vm, Address: p.addresses[i], Slots: o.slots})
 	}
 	p.entry = p.entries[0]
 	docs.Services = []contract.Service{svc}
 	docs.DataCentres = []contract.DataCentre{{DataCentre: "dc1", Region: "r1"}}
 	docs.Contracts = []contract.Contract{{
 		Customer: "grocer", APIKeySHA256: []string{hex.EncodeToString(digest[:])},
-		Routes: []contract.Route{{PathPrefix: "/", Service: "stock"}, {PathPrefix: "/orders/once", Service: "stock", AtMostOnce: true}},
-		Limits: contract.Limits{RatePerSecond: 1e6, Concurrency: 1000, MaxRequestBytes: 8 << 20},
+		Routes:             []contract.Route{{PathPrefix: "/", Service: "stock"}, {PathPrefix: "/orders/once", Service: "stock", AtMostOnce: true}},
+		RetryBudgetPercent: o.retryBudgetPercent,
+		Limits:             contract.Limits{RatePerSecond: 1e6, Concurrency: 1000, MaxRequestBytes: 8 << 20},
 	}}
 	snapshot := catalog.Build([]catalog.Source{{Revision: 1, Documents: docs}})
 	for _, h := range p.homes {
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -29,6 +29,7 @@
 	NoConfiguration
 	NoBackend
 	NotHome
+	NotPeer
 	SlotsFull
 	Draining
 	Ejected
@@ -106,6 +107,7 @@
 	NoConfiguration:     {Name: "no_configuration", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	NoBackend:           {Name: "no_backend", Status: 503, Outcome: NotRun, RetryAfter: time.Second},
 	NotHome:             {Name: "not_home", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
+	NotPeer:             {Name: "not_peer", Status: 403, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	SlotsFull:           {Name: "slots_full", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	Draining:            {Name: "draining", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	Ejected:             {Name: "ejected", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -72,6 +72,7 @@
 	c.checkListen(&s.Listen)
 	c.checkPlatform(&s.Platform)
 	c.checkSeedPeers(s)
+	c.checkPeerNetworks(s.PeerNetworks)
 	c.checkLimits(&s.Limits)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "logfmt", "json")
@@ -176,6 +177,25 @@
 	}
 }
 
+func (c *checker) checkPeerNetworks(networks []string) {
+	for i, text := range networks {
+		path := fmt.Sprintf("peerNetworks[%d]", i)
+		network, err := netip.ParsePrefix(text)
+		switch {
+		case err != nil:
+			c.report(path, "must be a network such as 10.0.0.0/16, is %q", text)
+		case network.Addr().Is4In6():
+			c.report(path, "must be written as an IPv4 network, is %q", text)
+		case network != network.Masked():
+			c.report(path, "has bits set outside of its prefix; write %s", network.Masked())
+		case network.Bits() == 0:
+			c.report(path, "must not hold all addresses")
+		case slices.Contains(networks[:i], text):
+			c.report(path, "%s is listed twice", text)
+		}
+	}
+}
+
 func (c *checker) checkLimits(l *Limits) {
 	between(c, "limits.maxHeaderBytes", l.MaxHeaderBytes, 4<<10, 1<<20)
 	between(c, "limits.maxConnections", l.MaxConnections, 1, 1_000_000)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,8 +17,10 @@
 	Listen    Listen     `yaml:"listen"`
 	Platform  Platform   `yaml:"platform"`
 	SeedPeers []SeedPeer `yaml:"seedPeers"`
-	Limits    Limits     `yaml:"limits"`
-	Log       Log        `yaml:"log"`
+	// PeerNetworks are networks in CIDR notation whose addresses may also use the peer listener. Default: none.
+	PeerNetworks []string `yaml:"peerNetworks"`
+	Limits       Limits   `yaml:"limits"`
+	Log          Log      `yaml:"log"`
 }
 
 // Listen holds the addresses that the daemon listens on, as host:port.
