Send errors of the HTTP servers to the structured log

Cause: net/http wrote its own errors (panics, failed connections) as plain lines to standard error, without a limit, although callers can cause them at will. Change: the three servers have an ErrorLog that writes one structured line for each report, at most 5 in 10 s for one listener. Ruled out: the text as the subject of the limit, because it holds addresses and each line would count as a new one.

--- /dev/null
+++ b/internal/daemon/errorlog_test.go
@@ -0,0 +1,90 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/cowsliprun/cowsliprun/internal/settings"
+	"github.com/cowsliprun/cowsliprun/internal/telemetry"
+)
+
+// lockedBuffer lets a test read a log while the daemon writes it.
+type lockedBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// Guards against a server whose own errors bypass the structured log, or fill it as fast as callers cause them.
+func TestServerErrorsAreLoggedWithLimit(t *testing.T) {
+	platform := httptest.NewServer(http.NotFoundHandler())
+	defer platform.Close()
+	s := settings.Default()
+	s.VM, s.DataCentre, s.Region = "vm1", "dc1", "r1"
+	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"}
+	s.Platform.URLs = []string{platform.URL}
+	var out lockedBuffer
+	d, err := New(s, Options{Log: &out, Audit: &lockedBuffer{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.listeners.closeOpen()
+	l := &d.listeners
+	for name, server := range map[string]*http.Server{"callers": l.callers, "peer": l.peer, "admin": l.admin} {
+		if server.ErrorLog == nil {
+			t.Fatalf("the server of the %s listener writes to standard error", name)
+		}
+		for i := range 50 {
+			server.ErrorLog.Printf("http: panic serving %d\nstack", i)
+		}
+		if n := strings.Count(out.String(), "listener="+name); n == 0 || n > 5 {
+			t.Errorf("%d lines for 50 errors of the %s listener", n, name)
+		}
+	}
+	if !strings.Contains(out.String(), `err="http: panic serving 0\nstack"`) {
+		t.Errorf("the text of the server is missing in %s", out.String())
+	}
+}
+
+// Guards against an error log that net/http does not use: a panic of a handler must reach the structured log.
+func TestPanicOfHandlerIsLogged(t *testing.T) {
+	var out lockedBuffer
+	log, err := telemetry.NewLogger(&out, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := callersServer(settings.Default().Limits, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("fault") }))
+	server.ErrorLog = serverErrors(log.Part("entry"), "callers")
+	front := httptest.NewUnstartedServer(nil)
+	front.Config = server
+	front.Start()
+	req, err := http.NewRequestWithContext(context.Background(), "GET", front.URL, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+		t.Errorf("a panic was answered with %d", resp.StatusCode)
+	}
+	front.Close() // waits for the handler, whose panic is logged before
+	if !strings.Contains(out.String(), fmt.Sprintf("msg=%q", "entry: The HTTP server reported an error.")) {
+		t.Errorf("log: %s", out.String())
+	}
+}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -48,6 +48,9 @@
 	l.callers = callersServer(d.settings.Limits, d.entry.Handler())
 	l.peer = peerServer(d.settings.Limits, d.guard.wrap(peerHandler(d.home, http.HandlerFunc(d.entry.ServeOperation), d.controlHandler())))
 	l.admin = &http.Server{Handler: admin.Handler(operator{d}), ReadHeaderTimeout: time.Duration(d.settings.Limits.HeaderTimeout), MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes}
+	for name, server := range map[string]*http.Server{"callers": l.callers, "peer": l.peer, "admin": l.admin} {
+		server.ErrorLog = serverErrors(d.log.Part("daemon"), name)
+	}
 	return nil
 }
 
