Divide the control budget by what is used, and collect garbage earlier

Cause: worked out for the size to design for, comparisons (2 KB/s), configuration (0.4 KB/s) and shares (1.5 to 2.2 KB/s) together pass 4 KB/s; resident memory was 66.8 MB against 64 MB. Change: comparisons get what other control messages leave, from 1,000 to 2,000 B/s; GC percent 50.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -95,6 +95,7 @@
 	defer ticker.Stop()
 	for {
 		d.updateView()
+		d.divideBudget(viewInterval)
 		d.entry.Expire(time.Now())
 		select {
 		case <-ctx.Done():
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -152,8 +152,26 @@
 	}
 }
 
+const (
+	// controlBudget is what a daemon may use for control messages, in bytes a second, asked and answered together.
+	controlBudget = 4000
+	// controlReserve is left for changes of the configuration, which come at once.
+	controlReserve = 500
+)
+
+// divideBudget gives comparisons what other control messages leave of the budget. A daemon answers about as many messages as
+// it starts, so what it starts counts twice.
+func (d *Daemon) divideBudget(elapsed time.Duration) {
+	total := 2 * (d.control.Sent() + d.control.Received())
+	compared := home.CompareBytes(d.compared.Load())
+	other := float64(total-d.lastTotal) - float64(compared-d.lastCompared)
+	d.lastTotal, d.lastCompared = total, compared
+	d.home.SetCompareBudget(controlBudget - controlReserve - int(max(other, 0)/elapsed.Seconds()))
+}
+
 // compare asks one daemon for summaries. A reply that comes after the round counts for the next one.
 func (d *Daemon) compare(ctx context.Context, c home.Comparison) {
+	d.compared.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
 	resp, err := d.peers.client(d.addressOf(c.VM)).Compare(ctx, connect.NewRequest(&peerapi.CompareRequest{BackendServers: c.BackendServers}))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -46,7 +46,10 @@
 	metrics  *metrics.Set
 	// control counts the bytes of the control messages that this daemon starts; the ones it answers are counted at the others.
 	control forward.Traffic
-	started time.Time
+	// compared counts comparisons. lastTotal and lastCompared are the byte counts at the last division of the budget.
+	compared                atomic.Uint64
+	lastTotal, lastCompared uint64
+	started                 time.Time
 
 	// published wakes the goroutine that puts applied values in force.
 	published chan struct{}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -21,6 +21,9 @@
 	exitSettings = 2
 )
 
+// gcPercent is the growth of the heap between collections.
+const gcPercent = 50
+
 // Version is the release, set by the linker at a release build.
 var Version = "development"
 
@@ -57,6 +60,8 @@
 }
 
 func run(s settings.Settings, stdout, stderr io.Writer) int {
+	// Most of the heap is the configuration, which does not change: a smaller reserve saves memory and costs few collections.
+	debug.SetGCPercent(gcPercent)
 	// The limit makes the garbage collector work harder near the bound; request bodies in flight come on top.
 	debug.SetMemoryLimit(2 * s.Limits.ControlMemoryBytes)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/home/siblings.go
+++ b/internal/home/siblings.go
@@ -26,6 +26,9 @@
 	// control budget of 4 KB a second; a home with many peers makes longer rounds.
 	compareBytes  = 100
 	compareBudget = 2000 // bytes a second
+	// minCompareBudget is what comparisons get when other control messages use up the budget: rounds are then 9.6 s at the
+	// size to design for, just within baselineLife.
+	minCompareBudget = 1000 // bytes a second
 	// A baseline is handed on again each second until the next round, for at most baselineLife: rounds of a home with many
 	// peers are longer than the age at which the detector forgets a baseline.
 	handOnEvery  = time.Second
@@ -50,6 +53,7 @@
 	// levels holds the last baseline of each local backend server.
 	levels   map[string]level
 	handedOn time.Time
+	budget   int
 }
 
 type level struct {
@@ -58,7 +62,7 @@
 }
 
 func newComparer(seed uint64) comparer {
-	return comparer{random: rand.New(rand.NewPCG(seed, seed)), asked: map[string][]string{}, heard: map[string]Summary{}, levels: map[string]level{}}
+	return comparer{random: rand.New(rand.NewPCG(seed, seed)), asked: map[string][]string{}, heard: map[string]Summary{}, levels: map[string]level{}, budget: compareBudget}
 }
 
 // Compare ends the round of comparisons when it is over, and returns the requests of the next one.
@@ -83,13 +87,23 @@
 			list = h.planComparison(list, m, svc, sample)
 		}
 	}
-	h.comparer.next = now.Add(compareInterval(len(list)))
+	h.comparer.next = now.Add(compareInterval(len(list), h.comparer.budget))
 	return list
 }
 
+// SetCompareBudget sets what comparisons may use, in bytes a second, within their bounds.
+func (h *Home) SetCompareBudget(bytes int) {
+	h.compareMu.Lock()
+	defer h.compareMu.Unlock()
+	h.comparer.budget = min(max(bytes, minCompareBudget), compareBudget)
+}
+
+// CompareBytes returns what one comparison costs both daemons together.
+func CompareBytes(comparisons uint64) uint64 { return 2 * compareBytes * comparisons }
+
 // compareInterval keeps the comparisons of one home within their part of the control budget.
-func compareInterval(messages int) time.Duration {
-	needed := time.Duration(float64(2*messages*compareBytes) / compareBudget * float64(time.Second))
+func compareInterval(messages, budget int) time.Duration {
+	needed := time.Duration(float64(2*messages*compareBytes) / float64(budget) * float64(time.Second))
 	return max(needed, compareMinInterval)
 }
 
