Take no new work while the platform lists the VM as leaving

Cause: a VM that the platform lists as leaving went on taking work until an operator or a signal drained its daemon. Ruled out: draining and exiting on the list's word (the list lags; a replaced VM can find its predecessor's entry and would stop at once). Change: the home closes once its reservations have ended, and opens again when the VM is listed as live. Measured: TestListedLeavingStopsNewWork passes; home, daemon and membership tests pass with the race detector.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -107,12 +107,29 @@
 
 func (d *Daemon) updateView() {
 	var live []string
-	d.sync.View(func(now time.Time, m *membership.Members) { live = m.LiveInRegion(now, d.settings.Region) })
+	var listed membership.State
+	d.sync.View(func(now time.Time, m *membership.Members) {
+		live, listed = m.LiveInRegion(now, d.settings.Region), m.Listed(d.settings.VM)
+	})
+	d.followList(listed == membership.Leaving)
 	view := limits.NewView(live)
 	d.holder.SetView(time.Now(), view)
 	d.shares.SetView(view)
 }
 
+// followList takes this VM out of service while the platform lists it as leaving.
+func (d *Daemon) followList(leaving bool) {
+	if !d.home.SetListedLeaving(leaving) {
+		return
+	}
+	state := "live"
+	if leaving {
+		state = "leaving"
+	}
+	d.audit.Add(audit.Entry{Actor: "platform", Action: "list of VMs", Subject: "VM " + d.settings.VM, To: state, Accepted: true})
+	d.log.Part("daemon").Info("The platform's list of VMs changed for this VM.", "state", state)
+}
+
 // writeSyncEvents copies the events of the propagation into the audit trail and the log.
 func (d *Daemon) writeSyncEvents(ctx context.Context) {
 	events := d.sync.Events()
--- a/internal/home/control.go
+++ b/internal/home/control.go
@@ -29,6 +29,7 @@
 	h.updateConditions(now)
 	messages := h.reservations.Tick(now)
 	h.applyPermits(now)
+	h.followList(now)
 	h.reserveMu.Unlock()
 	h.reportModes(now)
 	return messages
@@ -37,7 +38,7 @@
 // updateConditions tells the reservations which backend servers may promise to stay and which want to leave. The caller holds
 // reserveMu.
 func (h *Home) updateConditions(now time.Time) {
-	leaving := h.leaving.Load()
+	leaving := h.Leaving()
 	for _, m := range h.active() {
 		h.reservations.SetCondition(now, m.id, m.condition(now, leaving))
 		m.mu.Lock()
--- a/internal/home/drain.go
+++ b/internal/home/drain.go
@@ -11,7 +11,7 @@
 // reservations that siblings hold have ended, at most one lease, because those siblings rely on this VM. Then new requests
 // are refused as not run, and Drain waits for the ones in flight until ctx ends.
 func (h *Home) Drain(ctx context.Context) error {
-	h.leaving.Store(true)
+	h.draining.Store(true)
 	h.reserveMu.Lock()
 	h.updateConditions(time.Now())
 	h.reserveMu.Unlock()
@@ -64,5 +64,18 @@
 	return members
 }
 
-// Leaving reports whether a drain has begun.
-func (h *Home) Leaving() bool { return h.leaving.Load() }
+// Leaving reports whether a drain has begun or the platform lists the VM as leaving.
+func (h *Home) Leaving() bool { return h.draining.Load() || h.listed.Load() }
+
+// SetListedLeaving follows the platform's list of VMs: a VM listed as leaving takes no new work once its reservations have
+// ended. It goes back into service when it is listed as live again, because the list lags: a replaced VM can find the
+// entry of its predecessor. It reports whether this changed anything.
+func (h *Home) SetListedLeaving(leaving bool) bool { return h.listed.Swap(leaving) != leaving }
+
+// followList closes and opens the home for a VM listed as leaving. The caller holds reserveMu.
+func (h *Home) followList(now time.Time) {
+	if h.draining.Load() {
+		return // Drain decides, and there is no way back
+	}
+	h.closed.Store(h.listed.Load() && !now.Before(h.reservations.AllHeldUntil()))
+}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -47,8 +47,9 @@
 	vm        string
 	transport http.RoundTripper
 	observer  Observer
-	// leaving is set at the start of a drain: nothing is granted any more and entries are told to go elsewhere.
-	leaving atomic.Bool
+	// draining is set at the start of a drain, listed while the platform lists the VM as leaving. With either, nothing is granted
+	// any more and entries are told to go elsewhere.
+	draining, listed atomic.Bool
 	// closed is set when the reservations granted have ended: new requests are refused.
 	closed atomic.Bool
 
@@ -167,7 +168,7 @@
 }
 
 func (h *Home) refuse(w http.ResponseWriter, m *member, err error) {
-	w.Header().Set(forward.HeaderState, m.header(time.Now(), h.leaving.Load()))
+	w.Header().Set(forward.HeaderState, m.header(time.Now(), h.Leaving()))
 	var e *errkind.Error
 	if !errors.As(err, &e) {
 		e = errkind.Wrap(errkind.Internal, err, "")
@@ -196,7 +197,7 @@
 	header := w.Header()
 	forward.CopyHeaders(header, x.response.Header)
 	header.Set(forward.HeaderOutcome, errkind.Answered.String())
-	header.Set(forward.HeaderState, m.header(time.Now(), h.leaving.Load()))
+	header.Set(forward.HeaderState, m.header(time.Now(), h.Leaving()))
 	header.Set(forward.HeaderServiceTime, strconv.FormatInt(x.serviceTime.Microseconds(), 10))
 	forward.DeclareTrailers(header)
 	w.WriteHeader(x.response.StatusCode)
--- a/internal/home/siblings_test.go
+++ b/internal/home/siblings_test.go
@@ -119,6 +119,29 @@
 	}
 }
 
+// A VM that the platform lists as leaving must stop taking work without an operator, only after its promises have ended, and a
+// stale entry must not keep a replaced VM out for ever.
+func TestListedLeavingStopsNewWork(t *testing.T) {
+	h := New(Options{VM: "vm0", Seed: 1})
+	snapshot := fleetOf(6, 0)
+	h.Apply(snapshot)
+	start := time.Now()
+	h.SetListedLeaving(true)
+	h.Tick(start.Add(TickInterval))
+	if h.closed.Load() || !h.Leaving() {
+		t.Errorf("closed %v, leaving %v before the promises of an earlier process can have ended", h.closed.Load(), h.Leaving())
+	}
+	h.Tick(start.Add(4 * time.Second))
+	if !h.closed.Load() {
+		t.Error("new work is still taken after the promises have ended")
+	}
+	h.SetListedLeaving(false)
+	h.Tick(start.Add(5 * time.Second))
+	if h.closed.Load() || h.Leaving() {
+		t.Error("the home stays closed although the VM is listed as live")
+	}
+}
+
 // The rounds of comparisons must stay within their part of the control budget at the size to design for.
 func TestComparisonsStayWithinBudget(t *testing.T) {
 	const members, peers = 12, 48
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -134,6 +134,9 @@
 // IsLeaving reports whether this daemon is leaving.
 func (m *Members) IsLeaving() bool { return m.leaving }
 
+// Listed returns the state of a VM in the platform's list.
+func (m *Members) Listed(id string) State { return m.list[id] }
+
 // Lookup returns the VM of the configuration with the ID.
 func (m *Members) Lookup(id string) (VM, bool) {
 	vm, ok := m.directory.byID[id]
