Measure detection on a real fleet of separate processes

Cause: the detection figures came from simulated streams in which load does not move away from a slow backend server.

--- /dev/null
+++ b/cmd/measure-detection/main.go
@@ -0,0 +1,174 @@
+// Command measure-detection measures on a real fleet of separate processes how long it takes until a backend server that turns
+// slow is ejected, with load balancing, comparisons and reservations at work, and how many lookups were late or failed.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"slices"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cowsliprun/cowsliprun/internal/standin/backend"
+	"github.com/cowsliprun/cowsliprun/internal/standin/fleet"
+)
+
+// options are the flags.
+type options struct {
+	vms, backends, slots, rate, trials int
+	preset                             string
+	latencyMs                          float64
+}
+
+func main() {
+	o := options{vms: 4, backends: 8, slots: 5, rate: 50, trials: 20, preset: "fast-detection", latencyMs: 40}
+	flaggy.SetDescription("Measures the time until a slow backend server is ejected, on a fleet of separate processes.")
+	flaggy.Int(&o.vms, "", "vms", "Number of VMs.")
+	flaggy.Int(&o.backends, "", "backends", "Number of backend servers of the service.")
+	flaggy.Int(&o.slots, "", "slots", "Slots of each backend server.")
+	flaggy.Int(&o.rate, "", "rate", "Requests a second for each backend server on average.")
+	flaggy.Int(&o.trials, "", "trials", "Number of faults, one after the other.")
+	flaggy.String(&o.preset, "", "preset", "Preset of the detector.")
+	flaggy.Float64(&o.latencyMs, "", "latency", "Milliseconds that the fault adds; a healthy backend server takes 10.")
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "measure-detection:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	dir, err := os.MkdirTemp("", "cowsliprun-detection-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	if err := fleet.Build(ctx, dir); err != nil {
+		return err
+	}
+	f := fleet.New(fleet.Options{Bin: dir, Dir: dir, Platform: fleet.FreeAddress(), Documents: layout(o).Documents(fleet.FreeAddress)})
+	defer f.Kill()
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	for _, b := range backendsOf(f) {
+		if err := f.SetFaults(ctx, b, healthy()); err != nil {
+			return err
+		}
+	}
+	l := newLoad(f, o)
+	go l.run(ctx)
+	t := &trials{fleet: f, load: l, options: o}
+	if err := t.run(ctx); err != nil {
+		return err
+	}
+	t.print()
+	return f.Stop()
+}
+
+// baseLatencyMs makes a healthy backend server take 10 ms with the 2 ms that the stand-in always takes.
+const baseLatencyMs = 8
+
+func healthy() backend.Faults { return backend.Faults{LatencyMs: baseLatencyMs} }
+
+// trials runs one fault after the other.
+type trials struct {
+	fleet    *fleet.Fleet
+	load     *load
+	options  options
+	detected []time.Duration
+	missed   int
+	wrong    int
+}
+
+// missAfter ends a trial whose fault was not found.
+const missAfter = time.Minute
+
+func (t *trials) run(ctx context.Context) error {
+	names := backendsOf(t.fleet)
+	if err := t.allActive(ctx, names); err != nil {
+		return err
+	}
+	for i := range t.options.trials {
+		victim := names[i%len(names)]
+		if err := t.fleet.SetFaults(ctx, victim, backend.Faults{LatencyMs: baseLatencyMs + t.options.latencyMs}); err != nil {
+			return err
+		}
+		if err := t.await(ctx, victim); err != nil {
+			return err
+		}
+		if err := t.fleet.SetFaults(ctx, victim, healthy()); err != nil {
+			return err
+		}
+		if err := t.allActive(ctx, names); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// await waits until the victim is out and counts others that went out meanwhile.
+func (t *trials) await(ctx context.Context, victim string) error {
+	start := time.Now()
+	for {
+		for name, mode := range modes(ctx, t.fleet) {
+			if mode != "ejected" && mode != "probing" {
+				continue
+			}
+			if name == victim {
+				t.detected = append(t.detected, time.Since(start))
+				return nil
+			}
+			t.wrong++
+		}
+		if time.Since(start) > missAfter {
+			t.missed++
+			return nil
+		}
+		if !pause(ctx, 20*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+}
+
+// allActive waits until all backend servers are in normal service again.
+func (t *trials) allActive(ctx context.Context, names []string) error {
+	for {
+		seen := modes(ctx, t.fleet)
+		if !slices.ContainsFunc(names, func(name string) bool { return seen[name] != "active" }) {
+			return nil
+		}
+		if !pause(ctx, 200*time.Millisecond) {
+			return ctx.Err()
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (t *trials) print() {
+	slices.Sort(t.detected)
+	quantile := func(q int) time.Duration {
+		if len(t.detected) == 0 {
+			return 0
+		}
+		return t.detected[min(len(t.detected)*q/100, len(t.detected)-1)].Round(10 * time.Millisecond)
+	}
+	fmt.Println("| preset | backend servers | requests/s each | added ms | trials | p50 | p90 | max | missed | others out | lookups | late | failed |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	fmt.Printf("| `%s` | %d | %d | %.0f | %d | %v | %v | %v | %d | %d | %d | %d | %d |\n", t.options.preset, t.options.backends, t.options.rate,
+		t.options.latencyMs, t.options.trials, quantile(50), quantile(90), quantile(100), t.missed, t.wrong,
+		t.load.answered.Load()+t.load.late.Load()+t.load.failed.Load(), t.load.late.Load(), t.load.failed.Load())
+}
