Refuse ambiguous targets and close smuggling-shaped connections

Cause: the decoded path selected the route, but backend servers differ in how they resolve dot segments, doubled slashes, backslashes, encoded slashes and parameters. POST /orders//once/7 matched the route / and ran without a key at a backend server that drops doubled slashes. net/http accepts Content-Length together with chunks, keeps the connection, and hides the length from handlers; and it ignores Transfer-Encoding in HTTP/1.0, so that a POST ran with an empty body. OPTIONS * was answered without an outcome, and TRACE and unknown methods by chi. Change: dot segments and control characters are refused, other paths only when another reading matches another route. Chunked HTTP/1.1 requests end their connection (RFC 9112 section 6.1). HTTP/1.0 bodies need Content-Length. Only methods that a contract can name are served. All refusals carry the outcome. Ruled out: resolving the path before forwarding, because the backend server would get another path than the caller sent; refusing each doubled or encoded slash, because ids contain them; a parser of our own in front of net/http to see both framing headers, because two parsers are what smuggling needs. net/http folds obsolete line folding and takes bare LF; the backend server gets the rewritten form, so both sides read the same.

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -72,6 +72,8 @@
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
 		IdleTimeout:       time.Duration(limits.IdleTimeout),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		// The handler refuses OPTIONS * with an outcome.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/malformed_test.go
@@ -0,0 +1,227 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/settings"
+	"github.com/cowsliprun/cowsliprun/internal/telemetry"
+)
+
+// recorder notes the requests that reach the backend servers, as "METHOD target body".
+type recorder struct {
+	mu   sync.Mutex
+	seen []string
+}
+
+func (r *recorder) wrap(http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			panic(http.ErrAbortHandler) // a cut body does not run
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.seen = append(r.seen, fmt.Sprintf("%s %s %s", req.Method, req.RequestURI, body))
+		w.Write([]byte("ok")) //nolint:errcheck // the home is gone when this fails
+	})
+}
+
+// take returns and forgets what was noted.
+func (r *recorder) take() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	seen := r.seen
+	r.seen = nil
+	return seen
+}
+
+// exchangeRaw sends bytes and reads until the daemon closes the connection. It returns the status lines of all responses.
+func exchangeRaw(t *testing.T, address, raw string) (statuses []string, response string) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, raw); err != nil {
+		t.Logf("the daemon closed the connection early: %v", err)
+	}
+	data, _ := io.ReadAll(conn) // ends with the connection
+	// A body without a line end may stand in front of the next status line.
+	for _, found := range regexp.MustCompile(`HTTP/1\.[01] ([0-9]{3}) `).FindAllSubmatch(data, -1) {
+		statuses = append(statuses, string(found[1]))
+	}
+	return statuses, string(data)
+}
+
+// Guards against a request that net/http, the daemon and a backend server read differently. For each shape the table states
+// what the caller gets and what reaches a backend server; SMUGGLED must never be the target of a request there.
+func TestMalformedRequests(t *testing.T) {
+	var seen recorder
+	p := newPathWith(t, 1, pathOptions{backend: seen.wrap})
+	address := p.entry.Listener.Addr().String()
+	const auth = "Host: x\r\nAuthorization: Bearer " + testKey + "\r\n"
+	const last = auth + "Connection: close\r\n"
+	smuggled := "GET /SMUGGLED HTTP/1.1\r\n" + last + "\r\n"
+	for _, c := range []struct {
+		name, raw string
+		// want is the status of each response, in order; an empty list means that the connection is closed without one.
+		want []string
+		// reach is what reaches the backend server.
+		reach []string
+	}{
+		{"plain", "GET /stock/7?a=%2F&b HTTP/1.1\r\n" + last + "\r\n", []string{"200"}, []string{"GET /stock/7?a=%2F&b "}},
+		{"two Content-Length that differ", "POST /a HTTP/1.1\r\n" + auth + "Content-Length: 3\r\nContent-Length: 40\r\n\r\nabc" + smuggled, []string{"400"}, nil},
+		{"Content-Length list that differs", "POST /a HTTP/1.1\r\n" + auth + "Content-Length: 3, 40\r\n\r\nabc" + smuggled, []string{"400"}, nil},
+		{"two equal Content-Length", "POST /a HTTP/1.1\r\n" + last + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", []string{"200"}, []string{"POST /a abc"}},
+		{"signed Content-Length", "POST /a HTTP/1.1\r\n" + auth + "Content-Length: +3\r\n\r\nabc" + smuggled, []string{"400"}, nil},
+		{"negative Content-Length", "POST /a HTTP/1.1\r\n" + auth + "Content-Length: -3\r\n\r\nabc" + smuggled, []string{"400"}, nil},
+		{"Content-Length with Transfer-Encoding", "POST /a HTTP/1.1\r\n" + auth + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, []string{"200"}, []string{"POST /a "}},
+		{"Transfer-Encoding with Content-Length", "POST /a HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + smuggled, []string{"200"}, []string{"POST /a abc"}},
+		{"unknown Transfer-Encoding", "POST /a HTTP/1.1\r\n" + auth + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + smuggled, []string{"501"}, nil},
+		{"two Transfer-Encoding", "POST /a HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + smuggled, []string{"501"}, nil},
+		{"Transfer-Encoding in HTTP/1.0", "POST /a HTTP/1.0\r\n" + auth + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, []string{"400"}, nil},
+		{"chunk size with sign", "POST /a HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\n\r\n+3\r\nabc\r\n0\r\n\r\n" + smuggled, nil, nil},
+		{"chunk longer than its size", "POST /a HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\n\r\n3\r\nabcdef\r\n0\r\n\r\n" + smuggled, nil, nil},
+		{"obsolete folding", "GET /a HTTP/1.1\r\n" + last + "X-A: 1\r\n X-B: 2\r\n\r\n", []string{"200"}, []string{"GET /a "}},
+		{"folding of the first line", "GET /a HTTP/1.1\r\n X-B: 2\r\n" + last + "\r\n", []string{"400"}, nil},
+		{"folded Transfer-Encoding", "POST /a HTTP/1.1\r\n" + last + "Transfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n" + smuggled, []string{"200"}, []string{"POST /a "}},
+		{"bare LF", "GET /a HTTP/1.1\n" + strings.ReplaceAll(last, "\r\n", "\n") + "\n", []string{"200"}, []string{"GET /a "}},
+		{"bare CR in a value", "GET /a HTTP/1.1\r\n" + last + "X-A: 1\rX-B: 2\r\n\r\n", []string{"400"}, nil},
+		{"space before colon", "GET /a HTTP/1.1\r\n" + last + "Transfer-Encoding : chunked\r\n\r\n", []string{"400"}, nil},
+		{"no Host", "GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", []string{"400"}, nil},
+		{"two Host", "GET /a HTTP/1.1\r\nHost: y\r\n" + last + "\r\n", []string{"400"}, nil},
+		{"absolute form", "GET http://other:99/a?b=1 HTTP/1.1\r\n" + last + "\r\n", []string{"200"}, []string{"GET /a?b=1 "}},
+		{"authority form", "GET other:99 HTTP/1.1\r\n" + last + "\r\n", []string{"400"}, nil},
+		{"asterisk form", "OPTIONS * HTTP/1.1\r\n" + last + "\r\n", []string{"400"}, nil},
+		{"CONNECT", "CONNECT other:99 HTTP/1.1\r\n" + last + "\r\n", []string{"405"}, nil},
+		{"CONNECT with a path", "CONNECT /a HTTP/1.1\r\n" + last + "\r\n", []string{"405"}, nil},
+		{"TRACE", "TRACE /a HTTP/1.1\r\n" + last + "\r\n", []string{"405"}, nil},
+		{"Upgrade to WebSocket", "GET /a HTTP/1.1\r\n" + auth + "Connection: close, Upgrade\r\nUpgrade: websocket\r\n\r\n", []string{"200"}, []string{"GET /a "}},
+		{"Upgrade to h2c", "GET /a HTTP/1.1\r\n" + auth + "Connection: close, Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAoAAAAAIAAAAA\r\n\r\n", []string{"200"}, []string{"GET /a "}},
+		{"oversized header", "GET /a HTTP/1.1\r\n" + last + "X-A: " + strings.Repeat("a", 40<<10) + "\r\n\r\n", []string{"431"}, nil},
+		{"NUL in a value", "GET /a HTTP/1.1\r\n" + last + "X-A: 1\x002\r\n\r\n", []string{"400"}, nil},
+		{"NUL in a name", "GET /a HTTP/1.1\r\n" + last + "X\x00A: 1\r\n\r\n", []string{"400"}, nil},
+		{"NUL in the target", "GET /a\x00b HTTP/1.1\r\n" + last + "\r\n", []string{"400"}, nil},
+		{"encoded NUL in the target", "GET /a%00b HTTP/1.1\r\n" + last + "\r\n", []string{"400"}, nil},
+		{"encoded line end in the target", "GET /a%0d%0aX HTTP/1.1\r\n" + last + "\r\n", []string{"400"}, nil},
+		{"space in the target", "GET /a b HTTP/1.1\r\n" + last + "\r\n", []string{"400"}, nil},
+		{"fragment in the target", "GET /a#b HTTP/1.1\r\n" + last + "\r\n", []string{"200"}, []string{"GET /a%23b "}},
+		{"HTTP/0.9", "GET /a\r\nHost: example\r\n\r\n", []string{"400"}, nil},
+		{"HTTP/1.2", "GET /a HTTP/1.2\r\n" + last + "\r\n", []string{"200"}, []string{"GET /a "}},
+		{"body of a GET that looks like a request", "GET /a HTTP/1.1\r\n" + last + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(smuggled)) + smuggled, []string{"200"}, []string{"GET /a " + smuggled}},
+		{"request after Connection: close", "GET /a HTTP/1.1\r\n" + last + "\r\n" + smuggled, []string{"200"}, []string{"GET /a "}},
+		{"dot segments", "POST /stock/../orders/once/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"encoded dot segments", "POST /stock/%2e%2E/orders/once/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"dot segments between encoded slashes", "POST /stock%2f..%2Forders/once/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"dot segments with a parameter", "POST /stock/..;a/orders/once/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"dot segments between backslashes", `POST /stock\..\orders\once\7 HTTP/1.1` + "\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"one dot", "POST /orders/./once/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"dots inside of a segment", "GET /a..b/.c/d..;e HTTP/1.1\r\n" + last + "\r\n", []string{"200"}, []string{"GET /a..b/.c/d..;e "}},
+		{"doubled slash before an at-most-once path", "POST /orders//once/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"leading doubled slash", "POST //orders/once/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"parameter in an at-most-once path", "POST /orders;a/once/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"backslash in an at-most-once path", "POST /orders%5Conce/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"encoded slash in an at-most-once path", "POST /orders%2Fonce/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"400"}, nil},
+		{"encoded letter in an at-most-once path", "POST /orders/%6Fnce/7 HTTP/1.1\r\n" + last + "Content-Length: 0\r\n\r\n", []string{"428"}, nil},
+		{"encoded slash within one route", "GET /stock/a%2Fb//c;d HTTP/1.1\r\n" + last + "\r\n", []string{"200"}, []string{"GET /stock/a%2Fb//c;d "}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			statuses, response := exchangeRaw(t, address, c.raw)
+			if !slices.Equal(statuses, c.want) {
+				t.Errorf("the caller got %v, want %v: %s", statuses, c.want, response)
+			}
+			if got := seen.take(); !slices.Equal(got, c.reach) {
+				t.Errorf("%q reached the backend server, want %q", got, c.reach)
+			}
+		})
+	}
+}
+
+// pipeListener hands out the server's ends of in-memory connections, which follow virtual time.
+type pipeListener struct{ conns chan net.Conn }
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	conn, ok := <-l.conns
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return conn, nil
+}
+func (l *pipeListener) Close() error   { return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+// A caller that sends its header or its body slower than the limits must lose its connection and reach no handler, and one
+// that sends steadily must not. Virtual time.
+func TestSlowCallersLoseTheirConnection(t *testing.T) {
+	const head = "POST /a HTTP/1.1\r\nHost: x\r\n"
+	for name, c := range map[string]struct {
+		parts []string
+		pause time.Duration
+		whole bool
+	}{
+		"header without end":     {[]string{head, "X-A: 1\r\n", "X-B: 1\r\n", "X-C: 1\r\n"}, 2 * time.Second, false},
+		"nothing":                {nil, 0, false},
+		"stalled body":           {[]string{head + "Content-Length: 9\r\n\r\nabc", "def", "ghi"}, 16 * time.Second, false},
+		"slow but steady body":   {[]string{head + "Connection: close\r\nContent-Length: 9\r\n\r\nabc", "def", "ghi"}, 14 * time.Second, true},
+		"steady header in time":  {[]string{head, "Connection: close\r\n", "Content-Length: 0\r\n\r\n"}, 2 * time.Second, true},
+		"chunked body in pieces": {[]string{head + "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n", "3\r\nabc\r\n", "0\r\n\r\n"}, 14 * time.Second, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				whole := false
+				server := callersServer(settings.Default().Limits, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if _, err := io.ReadAll(r.Body); err != nil {
+						panic(http.ErrAbortHandler)
+					}
+					whole = true
+				}))
+				server.ErrorLog = serverErrors(telemetry.Discard(), "callers")
+				listener := &pipeListener{conns: make(chan net.Conn, 1)}
+				go server.Serve(listener) //nolint:errcheck // ends with Close
+				caller, side := net.Pipe()
+				listener.conns <- side
+				go func() {
+					for _, part := range c.parts {
+						io.WriteString(caller, part) //nolint:errcheck // the server may have closed the connection
+						time.Sleep(c.pause)
+					}
+				}()
+				start := time.Now()
+				response, _ := io.ReadAll(caller) // ends with the connection
+				synctest.Wait()
+				if whole != c.whole || strings.Contains(string(response), " 200 ") != c.whole {
+					t.Errorf("a whole request: %v, want %v; the caller got %q after %v", whole, c.whole, response, time.Since(start))
+				}
+				if d := time.Since(start); d > time.Minute {
+					t.Errorf("the connection was held for %v", d)
+				}
+				close(listener.conns)
+				server.Close()
+				time.Sleep(time.Minute) // lets the writer end
+			})
+		})
+	}
+}
+
+// Responses of the system to a refused target carry the outcome, so that callers know that nothing ran.
+func TestRefusedTargetsTellTheOutcome(t *testing.T) {
+	p := newPath(t, 1)
+	for _, target := range []string{"GET /a/../b", "TRACE /a", "OPTIONS *", "GET /.cowslip/operation-keys", "GET /.cowslip/other"} {
+		_, response := exchangeRaw(t, p.entry.Listener.Addr().String(), target+" HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+		if !strings.Contains(response, forward.HeaderOutcome+": not-run\r\n") {
+			t.Errorf("%s: %s", target, response)
+		}
+	}
+}
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -20,7 +20,9 @@
 	"github.com/cowsliprun/cowsliprun/internal/entry"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/home"
+	"github.com/cowsliprun/cowsliprun/internal/settings"
 	"github.com/cowsliprun/cowsliprun/internal/standin/backend"
+	"github.com/cowsliprun/cowsliprun/internal/telemetry"
 )
 
 const testKey = "test-key"
@@ -46,6 +48,8 @@
 	peer, backend, callers func(http.Handler) http.Handler
 	// service holds the settings of the service.
 	service contract.Service
+	// limits are those of the callers' listener. Default: settings.Default().
+	limits settings.Limits
 	// slots of each backend server. Default: backendSlots.
 	slots int
 	// retryBudgetPercent is that of the contract, nil for the default.
@@ -58,6 +62,9 @@
 			*wrap = func(h http.Handler) http.Handler { return h }
 		}
 	}
+	if o.limits == (settings.Limits{}) {
+		o.limits = settings.Default().Limits
+	}
 	if o.slots == 0 {
 		o.slots = backendSlots
 	}
@@ -85,7 +92,10 @@
 		h := home.New(home.Options{VM: vm})
 		e := entry.New(entry.Options{VM: vm, Snapshot: current.Load, Incarnation: uint64(i + 1), Leaving: h.Leaving})
 		address, stop := serveHTTP2(t, o.peer(peerHandler(h, http.HandlerFunc(e.ServeOperation), http.NotFoundHandler())))
-		front := httptest.NewServer(o.callers(e.Handler()))
+		front := httptest.NewUnstartedServer(nil)
+		front.Config = callersServer(o.limits, o.callers(e.Handler()))
+		front.Config.ErrorLog = serverErrors(telemetry.Discard(), "callers")
+		front.Start()
 		t.Cleanup(front.Close)
 		p.entries, p.stops = append(p.entries, front), append(p.stops, stop)
 		p.homes, p.backends = append(p.homes, h), append(p.backends, b)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -119,6 +119,9 @@
 	router := chi.NewRouter()
 	router.Post("/.cowslip/operation-keys", e.operationKeys)
 	router.Handle("/*", http.HandlerFunc(e.serve))
+	// Methods and targets that chi does not know are refused by checkTarget, with an outcome.
+	router.NotFound(e.serve)
+	router.MethodNotAllowed(e.serve)
 	return router
 }
 
@@ -135,6 +138,9 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	id := forward.NewRequestID()
 	w.Header().Set(forward.HeaderRequestID, id)
+	if chunkedHTTP1(r) {
+		w.Header().Set("Connection", "close")
+	}
 	c, err := e.admit(r)
 	if err != nil {
 		e.fail(w, err)
@@ -170,10 +176,16 @@
 
 // admit finds the contract that applies and checks its limits.
 func (e *Entry) admit(r *http.Request) (*call, error) {
+	if err := checkTarget(r); err != nil {
+		return nil, err
+	}
 	c, err := e.identify(r, r.URL.Path)
 	if err != nil {
 		return nil, err
 	}
+	if ambiguous(c.customer, c.route, r.URL) {
+		return nil, errkind.New(errkind.BadRequest, ambiguousDetail)
+	}
 	if !c.route.Allows(r.Method) {
 		return nil, errkind.New(errkind.MethodNotAllowed, "the route "+c.route.PathPrefix+" of the contract of "+c.customer.Name+" does not allow "+r.Method)
 	}
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"net/url"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/admin"
@@ -26,10 +27,16 @@
 		return refuse(errkind.Unauthenticated, "no contract of this customer is in force")
 	}
 	out.Limits = c.Limits
+	if err := checkPath(path); err != nil {
+		return refuse(err.Kind, err.Detail)
+	}
 	route := c.Route(path)
 	if route == nil {
 		return refuse(errkind.NoRoute, "no route of the contract matches the path")
 	}
+	if ambiguous(c, route, &url.URL{Path: path}) {
+		return refuse(errkind.BadRequest, ambiguousDetail)
+	}
 	out.Route, out.Service, out.AtMostOnce = route.PathPrefix, route.Service, route.AtMostOnce
 	out.Repeatable, out.Deadline = route.Repeatable(method), contract.Duration(route.Deadline)
 	if !route.Allows(method) {
