Count the body bytes that requests send to other regions

Cause: the link between regions is narrow and paid by volume, and nothing told how much of it requests of callers use. Change: cowslip_other_region_bytes_total per service counts request and response bodies over all tries, as they are read, and also those to the owner of an operation key in another region. The counter is looked up once a try, so the own region costs one comparison. Ruled out: counting at the end of a request, because tries that fail have used the link too; bytes of the connection, because services share connections. Measured: a test counts both directions for an answered and for a cut response, and 0 in the own region; entry and daemon tests pass with the race detector.

--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -83,6 +83,11 @@
 	}
 }
 
+// OtherRegion returns the counter of body bytes to and from other regions.
+func (m requestMetrics) OtherRegion(service string) func(bytes int) {
+	return m.set.GetOrCreateCounter(fmt.Sprintf(`cowslip_other_region_bytes_total{service=%q}`, service)).Add
+}
+
 // Refused records a request that ended with an error of the system.
 func (m requestMetrics) Refused(kind errkind.Kind) {
 	answer := kind.Answer()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,8 @@
 type Observer interface {
 	// Answered tells of a backend server's response, the time until it was ready, and the number of tries.
 	Answered(service string, took time.Duration, tries int)
+	// OtherRegion returns the counter for the body bytes of the service that travel to another region and back.
+	OtherRegion(service string) func(bytes int)
 	// Refused tells of a request that ended with an error of the system.
 	Refused(kind errkind.Kind)
 }
@@ -54,6 +56,7 @@
 
 func (unobserved) Answered(string, time.Duration, int) {}
 func (unobserved) Refused(errkind.Kind)                {}
+func (unobserved) OtherRegion(string) func(int)        { return func(int) {} }
 
 // Limiter applies the rate and concurrency limits of contracts.
 type Limiter interface {
@@ -74,6 +77,7 @@
 // Entry is the callers' side of a daemon.
 type Entry struct {
 	vm        string
+	region    string
 	snapshot  func() *catalog.Snapshot
 	transport http.RoundTripper
 
@@ -109,7 +113,7 @@
 	return &Entry{
 		limiter: o.Limiter, observer: o.Observer, budgets: retry.New(),
 		balancer: balance.New(balance.Options{Locality: o.Locality, Random: rand.NewPCG(o.Seed, o.Seed), Now: time.Now()}),
-		vm:       o.VM, snapshot: o.Snapshot, transport: o.Transport, incarnation: o.Incarnation, memory: o.Memory,
+		vm:       o.VM, region: o.Locality.Region, snapshot: o.Snapshot, transport: o.Transport, incarnation: o.Incarnation, memory: o.Memory,
 		uploads: operation.NewUploads(uploadBudgetBytes), leaving: o.Leaving,
 	}
 }
--- /dev/null
+++ b/internal/entry/entry_test.go
@@ -0,0 +1,136 @@
+package entry_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/entry"
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	"github.com/cowsliprun/cowsliprun/internal/forward"
+)
+
+const apiKey = "test-key"
+
+// snapshotOf returns a service with one backend server on each address, every second one in region r2, and a contract for it.
+func snapshotOf(addresses ...string) *catalog.Snapshot {
+	digest := sha256.Sum256([]byte(apiKey))
+	retries := 100
+	svc := contract.Service{Service: "stock", Detector: map[string]float64{"coldStart": 0}}
+	docs := contract.Documents{
+		DataCentres: []contract.DataCentre{{DataCentre: "dc0", Region: "r1"}, {DataCentre: "dc1", Region: "r2"}},
+		Contracts: []contract.Contract{{
+			Customer: "grocer", APIKeySHA256: []string{hex.EncodeToString(digest[:])}, OtherRegion: "spill", RetryBudgetPercent: &retries,
+			Routes: []contract.Route{{PathPrefix: "/", Service: "stock", Deadline: contract.Duration(10 * time.Second)}},
+			Limits: contract.Limits{RatePerSecond: 1e6, Concurrency: 1000, MaxRequestBytes: 8 << 20},
+		}},
+	}
+	for i, address := range addresses {
+		vm := fmt.Sprintf("vm%d", i)
+		docs.VMs = append(docs.VMs, contract.VM{VM: vm, DataCentre: fmt.Sprintf("dc%d", i%2), PeerAddress: vm + ":7001"})
+		svc.BackendServers = append(svc.BackendServers, contract.BackendServer{ID: fmt.Sprintf("b%d", i), VM: vm, Address: address, Slots: 5})
+	}
+	docs.Services = []contract.Service{svc}
+	return catalog.Build([]catalog.Source{{Revision: 1, Documents: docs}})
+}
+
+// homes stands for the home daemons: it gets what the entry sends to them.
+type homes func(r *http.Request) (*http.Response, error)
+
+func (h homes) RoundTrip(r *http.Request) (*http.Response, error) { return h(r) }
+
+// newEntry returns the handler of an entry in region r1 in front of the homes of the snapshot.
+func newEntry(snapshot *catalog.Snapshot, transport http.RoundTripper, observer entry.Observer) http.Handler {
+	return entry.New(entry.Options{
+		VM: "vm0", Locality: catalog.Locality{DataCentre: "dc0", Region: "r1"}, Seed: 1, Observer: observer,
+		Snapshot: func() *catalog.Snapshot { return snapshot }, Transport: transport,
+	}).Handler()
+}
+
+func ask(h http.Handler, method, target, body string, header ...string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	r.Header.Set("Authorization", "Bearer "+apiKey)
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w
+}
+
+// answered returns a home's whole response with the body of a backend server.
+func answered(r *http.Request, body string) *http.Response {
+	hash := xxhash.Sum64String(body)
+	return &http.Response{
+		StatusCode: 200, Request: r, ContentLength: int64(len(body)), Body: io.NopCloser(strings.NewReader(body)),
+		Header:  http.Header{forward.HeaderRequestID: {r.Header.Get(forward.HeaderRequestID)}, forward.HeaderOutcome: {"answered"}},
+		Trailer: http.Header{forward.TrailerLength: {fmt.Sprint(len(body))}, forward.TrailerDigest: {fmt.Sprintf("%x", hash)}},
+	}
+}
+
+// counted notes what an entry reports.
+type counted struct {
+	mu      sync.Mutex
+	crossed map[string]int
+	tries   []int
+}
+
+func (c *counted) Answered(_ string, _ time.Duration, tries int) { c.tries = append(c.tries, tries) }
+func (c *counted) Refused(errkind.Kind)                          {}
+func (c *counted) OtherRegion(service string) func(int) {
+	return func(bytes int) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.crossed[service] += bytes
+	}
+}
+
+// The bodies of both directions must be counted when, and only when, a request goes to another region: the link is paid by
+// volume. A try that failed has used the link too.
+func TestBytesToTheOtherRegionAreCounted(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		unreachable string
+		broken      bool
+		want        int
+	}{
+		{"own region", "", false, 0},
+		{"other region", "vm0:7001", false, len("request") + len("response")},
+		{"other region, response cut", "vm0:7001", true, len("request") + len("respo")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			seen := &counted{crossed: map[string]int{}}
+			h := newEntry(snapshotOf("127.0.0.1:1", "127.0.0.1:2"), homes(func(r *http.Request) (*http.Response, error) {
+				if r.URL.Host == c.unreachable {
+					return nil, io.ErrUnexpectedEOF
+				}
+				if _, err := io.Copy(io.Discard, r.Body); err != nil {
+					return nil, err
+				}
+				resp := answered(r, "response")
+				if c.broken {
+					resp.Body = io.NopCloser(strings.NewReader("respo"))
+				}
+				return resp, nil
+			}), seen)
+			w := ask(h, "POST", "/orders", "request")
+			if ok := w.Code == 200; ok == c.broken {
+				t.Errorf("status %d: %s", w.Code, w.Body)
+			}
+			if seen.crossed["stock"] != c.want {
+				t.Errorf("%d bytes, want %d", seen.crossed["stock"], c.want)
+			}
+		})
+	}
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -55,7 +55,7 @@
 		}
 		t := &try{
 			call: c, backend: choice.Backend, vm: choice.Backend.VM.ID, address: choice.Backend.VM.PeerAddress, entry: e,
-			choice: choice, number: attempt.Tries(),
+			choice: choice, number: attempt.Tries(), crossed: e.crossing(c.service.Name, choice.Backend.VM),
 		}
 		last = e.once(ctx, r, t)
 		if last == nil {
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -125,7 +125,7 @@
 	var last error
 	uncertain := false
 	for range ownerTries {
-		t := &try{call: c, address: owner.PeerAddress, vm: owner.ID, toOwner: true, ownerBody: body, entry: e}
+		t := &try{call: c, address: owner.PeerAddress, vm: owner.ID, toOwner: true, ownerBody: body, entry: e, crossed: e.crossing(c.service.Name, owner)}
 		last = t.do(ctx, e.transport, r)
 		if last == nil {
 			defer t.end()
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -32,8 +32,10 @@
 	ownerBody []byte
 	toOwner   bool
 
-	entry  *Entry
-	choice balance.Choice
+	entry *Entry
+	// crossed counts the body bytes of a try in another region, nil in the own one.
+	crossed func(bytes int)
+	choice  balance.Choice
 	// number counts the tries of the request from 1.
 	number int
 	// cancel releases the try's context.
@@ -128,7 +130,11 @@
 		// The home asks for the body only after it has a slot, so a refused upload can be tried elsewhere.
 		out.Header.Set("Expect", "100-continue")
 	}
-	forward.AttachOutgoing(out, body.reader())
+	reader := body.reader()
+	if t.crossed != nil {
+		reader = &countedBody{reader, t.crossed}
+	}
+	forward.AttachOutgoing(out, reader)
 }
 
 func (t *try) classify(ctx context.Context, err error) error {
@@ -169,6 +175,9 @@
 		t.reported = e.Kind != errkind.PathBroken
 		return e
 	}
+	if t.crossed != nil {
+		resp.Body = &countedBody{resp.Body, t.crossed}
+	}
 	t.body = resp.Body
 	if hasBody(resp) {
 		t.body = forward.NewIncoming(resp.Body, func() http.Header { return resp.Trailer })
