--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -20,6 +20,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/entry"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/home"
+	"github.com/cowsliprun/cowsliprun/internal/operation"
 	"github.com/cowsliprun/cowsliprun/internal/settings"
 	"github.com/cowsliprun/cowsliprun/internal/standin/backend"
 	"github.com/cowsliprun/cowsliprun/internal/telemetry"
@@ -54,6 +55,10 @@
 	slots int
 	// retryBudgetPercent is that of the contract, nil for the default.
 	retryBudgetPercent *int
+	// maxRequestBytes of the contract. Default: 8 MiB.
+	maxRequestBytes int64
+	// memory bounds the operation keys. Default: that of operation.NewMemory.
+	memory operation.Options
 }
 
 func (o *pathOptions) fill() {
@@ -65,6 +70,9 @@
 	if o.limits == (settings.Limits{}) {
 		o.limits = settings.Default().Limits
 	}
+	if o.maxRequestBytes == 0 {
+		o.maxRequestBytes = 8 << 20
+	}
 	if o.slots == 0 {
 		o.slots = backendSlots
 	}
@@ -90,7 +98,7 @@
 		srv := httptest.NewServer(o.backend(b.Handler()))
 		t.Cleanup(srv.Close)
 		h := home.New(home.Options{VM: vm})
-		e := entry.New(entry.Options{VM: vm, Snapshot: current.Load, Incarnation: uint64(i + 1), Leaving: h.Leaving})
+		e := entry.New(entry.Options{VM: vm, Snapshot: current.Load, Incarnation: uint64(i + 1), Leaving: h.Leaving, Memory: operation.NewMemory(vm, uint64(i+1), o.memory)})
 		address, stop := serveHTTP2(t, o.peer(peerHandler(h, http.HandlerFunc(e.ServeOperation), http.NotFoundHandler())))
 		front := httptest.NewUnstartedServer(nil)
 		front.Config = callersServer(o.limits, o.callers(e.Handler()))
@@ -110,7 +118,7 @@
 		Customer: "grocer", APIKeySHA256: []string{hex.EncodeToString(digest[:])},
 		Routes:             []contract.Route{{PathPrefix: "/", Service: "stock"}, {PathPrefix: "/orders/once", Service: "stock", AtMostOnce: true}},
 		RetryBudgetPercent: o.retryBudgetPercent,
-		Limits:             contract.Limits{RatePerSecond: 1e6, Concurrency: 1000, MaxRequestBytes: 8 << 20},
+		Limits:             contract.Limits{RatePerSecond: 1e6, Concurrency: 1000, MaxRequestBytes: o.maxRequestBytes},
 	}}
 	snapshot := catalog.Build([]catalog.Source{{Revision: 1, Documents: docs}})
 	for _, h := range p.homes {
