Bound the buffers of streams between daemons

Cause: net/http lets 4 MiB of a response wait at the client of an HTTP/2 stream and shares 1 MiB at the server among all request bodies of a connection. A stalled download took 4.3 MB at the entry, 17 GB with the default of 4,096 callers. A few uploads that a backend server did not read stopped all uploads from that entry to that home until their deadlines. Change: 256 KiB a stream in both directions, 64 MiB for the request bodies of a connection. 30 Mbit/s over 40 ms need 150 KB. The test fleet now uses the daemon's own peer server. Ruled out: a smaller connection buffer, because the waiting uploads are bounded by the slots of the home and 256 KiB each. The new test takes 0.9 s, and ends in deadline_exceeded after 30 s with the default for connections.

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -10,6 +10,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/cowsliprun/cowsliprun/internal/admin"
+	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/settings"
 	"github.com/rotisserie/eris"
 )
@@ -82,7 +83,9 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: handler, Protocols: protocols, MaxHeaderBytes: limits.MaxHeaderBytes * 2,
-		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: forward.StreamBufferBytes, MaxReceiveBufferPerConnection: forward.ConnectionBufferBytes,
+		},
 	}
 }
 
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -12,8 +12,10 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
@@ -57,6 +59,8 @@
 	retryBudgetPercent *int
 	// maxRequestBytes of the contract. Default: 8 MiB.
 	maxRequestBytes int64
+	// deadline of the contract, 0 for the default.
+	deadline time.Duration
 	// memory bounds the operation keys. Default: that of operation.NewMemory.
 	memory operation.Options
 }
@@ -117,8 +121,8 @@
 	docs.Contracts = []contract.Contract{{
 		Customer: "grocer", APIKeySHA256: []string{hex.EncodeToString(digest[:])},
 		Routes:             []contract.Route{{PathPrefix: "/", Service: "stock"}, {PathPrefix: "/orders/once", Service: "stock", AtMostOnce: true}},
-		RetryBudgetPercent: o.retryBudgetPercent,
-		Limits:             contract.Limits{RatePerSecond: 1e6, Concurrency: 1000, MaxRequestBytes: o.maxRequestBytes},
+		RetryBudgetPercent: o.retryBudgetPercent, Deadline: contract.Duration(o.deadline),
+		Limits: contract.Limits{RatePerSecond: 1e6, Concurrency: 1000, MaxRequestBytes: o.maxRequestBytes},
 	}}
 	snapshot := catalog.Build([]catalog.Source{{Revision: 1, Documents: docs}})
 	for _, h := range p.homes {
@@ -130,13 +134,12 @@
 
 func serveHTTP2(t testing.TB, h http.Handler) (address string, stop func()) {
 	t.Helper()
-	protocols := new(http.Protocols)
-	protocols.SetUnencryptedHTTP2(true)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := &http.Server{Handler: h, Protocols: protocols}
+	srv := peerServer(settings.Default().Limits, h)
+	srv.ErrorLog = serverErrors(telemetry.Discard(), "peer")
 	go srv.Serve(listener) //nolint:errcheck // ends with Close
 	stop = func() { srv.Close() }
 	t.Cleanup(stop)
@@ -303,3 +306,69 @@
 		t.Errorf("%d executions of one order", total)
 	}
 }
+
+// Uploads that a backend server does not read must not stop other uploads between the same two daemons: they share a
+// connection, and its buffer was once as large as that of one stream.
+func TestStalledUploadsDoNotStopOthers(t *testing.T) {
+	const stalled, size = 8, 64 << 20 // above what the sockets of the system hold
+	var sent atomic.Int64
+	stop := make(chan struct{})
+	var waiting sync.WaitGroup
+	waiting.Add(stalled)
+	p := newPathWith(t, 1, pathOptions{slots: stalled + 1, maxRequestBytes: size, deadline: time.Hour, service: contract.Service{Detector: map[string]float64{"coldStart": 0}},
+		backend: func(next http.Handler) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path == "/stalled" {
+					waiting.Done()
+					<-stop
+					panic(http.ErrAbortHandler)
+				}
+				next.ServeHTTP(w, r)
+			})
+		}})
+	var callers sync.WaitGroup
+	for range stalled {
+		callers.Go(func() {
+			req, _ := http.NewRequest("PUT", p.entry.URL+"/stalled", io.TeeReader(io.LimitReader(zeros{}, size), countWriter{&sent}))
+			req.ContentLength = size
+			req.Header.Set("Authorization", "Bearer "+testKey)
+			if resp, err := http.DefaultClient.Do(req); err == nil {
+				resp.Body.Close()
+			}
+		})
+	}
+	waiting.Wait()
+	for before := int64(-1); before != sent.Load(); { // until all buffers on the way are full
+		before = sent.Load()
+		time.Sleep(100 * time.Millisecond)
+	}
+	req, _ := http.NewRequest("PUT", p.entry.URL+"/catalogue", bytes.NewReader(make([]byte, 4<<20)))
+	req.Header.Set("Authorization", "Bearer "+testKey)
+	req.Header.Set(forward.HeaderCallerTimeout, "30000") // ends the test when the upload hangs
+	resp, err := http.DefaultClient.Do(req)
+	close(stop)
+	callers.Wait()
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != 200 {
+		t.Errorf("status %d %v", resp.StatusCode, resp.Header)
+	}
+}
+
+// zeros is an endless body.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) {
+	clear(p)
+	return len(p), nil
+}
+
+// countWriter counts the bytes written to it.
+type countWriter struct{ n *atomic.Int64 }
+
+func (w countWriter) Write(p []byte) (int, error) {
+	w.n.Add(int64(len(p)))
+	return len(p), nil
+}
--- a/internal/forward/transport.go
+++ b/internal/forward/transport.go
@@ -17,6 +17,16 @@
 	idleTimeout = 90 * time.Second
 )
 
+// Receive buffers of HTTP/2 between daemons.
+const (
+	// StreamBufferBytes bounds the bytes of one body that wait for a slow reader. The default of net/http, 4 MiB at the client,
+	// let a stalled download take 4.3 MB. A stream of 30 Mbit/s over 40 ms, the link between regions, needs 150 KB.
+	StreamBufferBytes = 256 << 10
+	// ConnectionBufferBytes bounds those of all request bodies of one entry at a home. The default, 1 MiB, let a few stalled uploads
+	// stop all others of the connection.
+	ConnectionBufferBytes = 64 << 20
+)
+
 // DialFunc opens a connection. Tests replace it to count bytes or to cut connections.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -34,9 +44,10 @@
 		IdleConnTimeout:       idleTimeout,
 		ExpectContinueTimeout: time.Hour, // the request's own deadline applies
 		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:  pingAfter,
-			PingTimeout:      pingTimeout,
-			WriteByteTimeout: pingAfter + pingTimeout,
+			MaxReceiveBufferPerStream: StreamBufferBytes,
+			SendPingTimeout:           pingAfter,
+			PingTimeout:               pingTimeout,
+			WriteByteTimeout:          pingAfter + pingTimeout,
 		},
 	}
 }
