--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -10,6 +10,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/cowsliprun/cowsliprun/internal/admin"
+	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/settings"
 	"github.com/rotisserie/eris"
 )
@@ -72,6 +73,8 @@
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
 		IdleTimeout:       time.Duration(limits.IdleTimeout),
 		MaxHeaderBytes:    limits.MaxHeaderBytes,
+		// The handler refuses OPTIONS * with an outcome.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
@@ -80,7 +83,9 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler: handler, Protocols: protocols, MaxHeaderBytes: limits.MaxHeaderBytes * 2,
-		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerStream: forward.StreamBufferBytes, MaxReceiveBufferPerConnection: forward.ConnectionBufferBytes,
+		},
 	}
 }
 
