Leave out a backend server that its home cannot reach

Lookups failed with backend_unreachable (not run) while both backend servers of an entry's own data centre were dead: every request tried both before it spilled to another data centre, so the retries after refusals ran out after about a hundred requests. A latency penalty does not help where the nearest tier has no other candidate.

After such a refusal the entry leaves the backend server out for one second, under the same cap by the floor as for ejected ones and failed paths.

Ruled out: ejection by the home as the remedy, which takes a dozen failed requests and a permit, and is not allowed below the floor.

--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -280,3 +280,35 @@
 		})
 	}
 }
+
+// Guards against an entry that chooses a dead backend server of its own data centre again and again, which empties the budget
+// for retries, and against one that avoids more than the floor allows or does so for ever.
+func TestUnreachableIsLeftOutForAShortTime(t *testing.T) {
+	svc := build(2, 5, "n/1", "n/1", "n/2", "n/2")
+	b := newBalancer()
+	for _, exclude := range []string{"b1", "b0"} {
+		b.Refused(epoch, pick(t, b, epoch, PickRequest{Service: svc, Exclude: []string{exclude}}), errkind.BackendUnreachable)
+	}
+	for range 20 {
+		c := pick(t, b, epoch, PickRequest{Service: svc})
+		if c.Backend.ID != "b2" && c.Backend.ID != "b3" {
+			t.Fatalf("chose %s, which its home cannot reach", c.Backend.ID)
+		}
+		b.Finished(epoch, c, Response{Latency: time.Millisecond})
+	}
+	later := epoch.Add(unreachableHold / 2)
+	b.Refused(later, pick(t, b, later, PickRequest{Service: svc, Exclude: []string{"b0", "b1", "b3"}}), errkind.BackendUnreachable)
+	putBack := 0
+	for _, c := range b.Explain(later, "s") {
+		if c.PutBack {
+			putBack++
+		}
+	}
+	if putBack != 1 {
+		t.Errorf("%d of 3 unreachable ones are put back with a floor of 2 of 4, want 1", putBack)
+	}
+	end := epoch.Add(unreachableHold)
+	if c := pick(t, b, end, PickRequest{Service: svc}); c.Backend.ID != "b0" && c.Backend.ID != "b1" {
+		t.Errorf("chose %s although the time is over for those of the own data centre", c.Backend.ID)
+	}
+}
--- a/internal/balance/choose.go
+++ b/internal/balance/choose.go
@@ -71,11 +71,12 @@
 	announced
 	draining
 	pathFailed
+	unreachable
 )
 
 // String returns the name used in Explain.
 func (r reason) String() string {
-	return [...]string{"", "out by its home", "draining", "path fails"}[r]
+	return [...]string{"", "out by its home", "draining", "path fails", "not reachable from its home"}[r]
 }
 
 // view is one member at one instant.
@@ -89,6 +90,11 @@
 	barred bool
 }
 
+// avoided reports whether the member is left out by a reason that the cap bounds.
+func (v *view) avoided() bool {
+	return v.reason == announced || v.reason == pathFailed || v.reason == unreachable
+}
+
 // look fills in the views of all members and applies the cap.
 func (s *service) look(now time.Time, mostFail bool) {
 	left := 0
@@ -102,12 +108,14 @@
 			v.reason, v.since = announced, m.outSince
 		case path == pathOpen && !mostFail:
 			v.reason, v.since = pathFailed, m.path.openSince()
+		case m.isUnreachable(now):
+			v.reason, v.since = unreachable, m.unreachableAt
 		}
 		v.trial = path == pathTrial && !mostFail
 		slots, hard := m.capacity(now)
 		v.free = m.load(now) < slots
 		v.barred = hard && !v.free
-		if v.reason == announced || v.reason == pathFailed {
+		if v.avoided() {
 			left++
 		}
 		s.views[i] = v
@@ -118,7 +126,7 @@
 		oldest := -1
 		for i := range s.views {
 			v := &s.views[i]
-			if v.putBack || v.reason != announced && v.reason != pathFailed {
+			if v.putBack || !v.avoided() {
 				continue
 			}
 			if oldest < 0 || v.since.Before(s.views[oldest].since) {
--- a/internal/balance/events.go
+++ b/internal/balance/events.go
@@ -59,6 +59,7 @@
 		m.others, m.othersAt = m.slots(), now
 	case errkind.BackendUnreachable:
 		m.latency.add(now, latencyTau, failureFactor*s.prior(now))
+		m.unreachableAt = now
 	}
 }
 
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -19,6 +19,10 @@
 	// failureFactor is the latency, in multiples of the service's mean, that a failed request counts as. Without it a
 	// backend server that fails fast looks like the best one.
 	failureFactor = 4
+	// unreachableHold is how long a backend server is left out after its home could not connect to it. Each refusal costs a
+	// retry, and where one data centre holds few backend servers a latency penalty alone chooses a dead one again and again
+	// until the budget for retries is empty.
+	unreachableHold = time.Second
 	// errorTau is the decay of the error share.
 	errorTau = 30 * time.Second
 	// expireAfter is the time without traffic after which state is dropped.
@@ -70,6 +74,8 @@
 	othersAt time.Time
 	// outSince is when the backend server was first left out by its announced mode.
 	outSince time.Time
+	// unreachableAt is when its home last could not connect to the backend server.
+	unreachableAt time.Time
 	// returning is set from being out until the home announces another mode.
 	returning bool
 
@@ -96,6 +102,11 @@
 	return m.state.Mode
 }
 
+// isUnreachable reports whether its home could not connect to the backend server a short time ago.
+func (m *member) isUnreachable(now time.Time) bool {
+	return !m.unreachableAt.IsZero() && now.Sub(m.unreachableAt) < unreachableHold
+}
+
 // load returns the requests in flight as far as known: the entry's own and those that others had when the state came.
 func (m *member) load(now time.Time) int {
 	if now.Sub(m.othersAt) < stateTTL {
