End callers' connections between requests when a daemon drains

A planned stop lost single requests: a caller got EOF in place of a response. There were two causes, both in how http.Server.Shutdown ends HTTP/1.1 connections. It closes idle connections while a caller may be sending its next request, and it closes a connection without a response when it reads the request after its begin, which hits connections accepted a moment before.

While the daemon leaves, responses close their connection, for one more second after the home's drain. Then the listener is closed, accepted connections get 250 ms until their request is read, and only then the server is shut down. Drains take 1.25 s longer.

Not closed: a connection that the kernel holds in the accept queue at the moment when the listener closes is reset.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -159,6 +159,15 @@
 	})
 }
 
+const (
+	// callersGrace is the time after the home's drain in which callers are still served, each response closing its connection.
+	// It lets connections in use end between two requests; HTTP/2 has a message for that and needs no such time.
+	callersGrace = time.Second
+	// acceptedGrace is the time after the callers' listener is closed in which the requests of accepted connections are read.
+	// http.Server.Shutdown closes a connection without a response when it reads a request after its begin.
+	acceptedGrace = 250 * time.Millisecond
+)
+
 // drain lets the home finish, then the callers' side. Both share the stop limit of the settings.
 func (d *Daemon) drain() {
 	defer close(d.drained)
@@ -167,6 +176,9 @@
 	if err := d.home.Drain(ctx); err != nil {
 		d.log.Part("daemon").Warn("The stop limit cuts requests to backend servers.", "limit", d.settings.Limits.DrainStopLimit)
 	}
+	sleep(ctx, callersGrace)
+	d.listeners.callersOn.Close()
+	sleep(ctx, acceptedGrace)
 	if err := d.listeners.callers.Shutdown(ctx); err != nil {
 		d.log.Part("daemon").Warn("The stop limit cuts requests of callers.", "limit", d.settings.Limits.DrainStopLimit)
 	}
--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -45,7 +45,7 @@
 		*open.on, *open.addr = listener, listener.Addr()
 	}
 	l.callersOn = netutil.LimitListener(l.callersOn, d.settings.Limits.MaxConnections)
-	l.callers = callersServer(d.settings.Limits, d.entry.Handler())
+	l.callers = callersServer(d.settings.Limits, closeWhenLeaving(d.home.Leaving, d.entry.Handler()))
 	l.peer = peerServer(d.settings.Limits, peerHandler(d.home, http.HandlerFunc(d.entry.ServeOperation), d.controlHandler()))
 	l.admin = &http.Server{Handler: admin.Handler(operator{d}), ReadHeaderTimeout: time.Duration(d.settings.Limits.HeaderTimeout), MaxHeaderBytes: d.settings.Limits.MaxHeaderBytes}
 	return nil
@@ -72,6 +72,17 @@
 	}
 }
 
+// closeWhenLeaving asks callers to open no further request on their connection once the drain has begun. The end of the drain
+// closes idle connections, and a request that a caller sends at that moment would get no response.
+func closeWhenLeaving(leaving func() bool, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ProtoMajor == 1 && leaving() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
 func peerServer(limits settings.Limits, handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
@@ -90,7 +101,8 @@
 		on     net.Listener
 	}{{l.callers, l.callersOn}, {l.peer, l.peerOn}, {l.admin, l.adminOn}} {
 		go func() {
-			if err := s.server.Serve(s.on); !errors.Is(err, http.ErrServerClosed) {
+			// A drain closes the callers' listener before its server.
+			if err := s.server.Serve(s.on); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				failed <- err
 			}
 		}()
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -254,3 +254,16 @@
 		t.Errorf("%d executions of one order", total)
 	}
 }
+
+// Guards against a drain that closes connections on which callers would have sent their next request: that request gets no
+// response, and its caller cannot tell whether it ran.
+func TestConnectionsOfCallersEndBetweenRequestsOfADrain(t *testing.T) {
+	for _, leaving := range []bool{false, true} {
+		w := httptest.NewRecorder()
+		next := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+		closeWhenLeaving(func() bool { return leaving }, next).ServeHTTP(w, httptest.NewRequest("GET", "/", nil))
+		if got := w.Header().Get("Connection"); (got == "close") != leaving || w.Code != http.StatusNoContent {
+			t.Errorf("leaving %v: Connection is %q, status %d", leaving, got, w.Code)
+		}
+	}
+}
