Keep the admin API out of the request path

Cause: internal/entry returned types of the admin API, and the latency of a candidate needed its own JSON form because of that. Change: entry has its own Decision; the daemon maps it. The JSON is the same; its test now walks Candidate itself.

--- a/internal/admin/decision.go
+++ b/internal/admin/decision.go
@@ -1,11 +1,6 @@
 package admin
 
-import (
-	"encoding/json"
-	"time"
-
-	"github.com/cowsliprun/cowsliprun/internal/contract"
-)
+import "github.com/cowsliprun/cowsliprun/internal/contract"
 
 // Decision is the answer of GET /v1/explain: what would happen to a request now.
 type Decision struct {
@@ -43,33 +38,8 @@
 	// InFlight and Allowed are the last known requests in flight and their limit.
 	InFlight int `json:"inFlight"`
 	Allowed  int `json:"allowed"`
-	// Latency is the average that this entry has measured, 0 for unknown. In JSON it is text, as all durations.
-	Latency time.Duration `json:"-"`
+	// Latency is the average that this entry has measured, 0 for unknown.
+	Latency contract.Duration `json:"latency"`
 	// Score orders the candidates: the lower one of two random candidates is chosen.
 	Score float64 `json:"score"`
 }
-
-// candidateFields has the fields of Candidate without its methods.
-type candidateFields Candidate
-
-// candidateJSON is the form of Candidate in JSON.
-type candidateJSON struct {
-	candidateFields
-	Latency contract.Duration `json:"latency"`
-}
-
-// MarshalJSON writes the latency as text.
-func (c Candidate) MarshalJSON() ([]byte, error) {
-	return json.Marshal(candidateJSON{candidateFields(c), contract.Duration(c.Latency)})
-}
-
-// UnmarshalJSON reads what MarshalJSON wrote.
-func (c *Candidate) UnmarshalJSON(data []byte) error {
-	var in candidateJSON
-	if err := json.Unmarshal(data, &in); err != nil {
-		return err
-	}
-	*c = Candidate(in.candidateFields)
-	c.Latency = time.Duration(in.Latency)
-	return nil
-}
--- a/internal/admin/handler_test.go
+++ b/internal/admin/handler_test.go
@@ -159,7 +159,7 @@
 		}
 	}
 	for _, v := range []any{
-		Status{}, Revision{}, Revisions{}, VM{}, Placement{}, Documents{}, AuditPage{}, OverrideRequest{}, DrainRequest{}, Decision{}, candidateJSON{},
+		Status{}, Revision{}, Revisions{}, VM{}, Placement{}, Documents{}, AuditPage{}, OverrideRequest{}, DrainRequest{}, Decision{}, Candidate{},
 	} {
 		walk(reflect.TypeOf(v))
 	}
@@ -181,7 +181,7 @@
 	if err := json.Unmarshal([]byte(body), &read); err != nil || read.Incarnation != status.Incarnation || !reflect.DeepEqual(read.BackendServers, status.BackendServers) {
 		t.Errorf("%v, read %+v", err, read)
 	}
-	candidate := Candidate{BackendServer: "b1", Usable: true, Latency: 2500 * time.Microsecond, Score: 0.5}
+	candidate := Candidate{BackendServer: "b1", Usable: true, Latency: contract.Duration(2500 * time.Microsecond), Score: 0.5}
 	text, err := json.Marshal(candidate)
 	var again Candidate
 	if err != nil || !strings.Contains(string(text), `"latency":"2.5ms"`) || json.Unmarshal(text, &again) != nil || again != candidate {
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -117,7 +117,7 @@
 	for _, c := range d.Candidates {
 		latency := "unknown"
 		if c.Latency > 0 {
-			latency = short(c.Latency)
+			latency = short(time.Duration(c.Latency))
 		}
 		table = append(table, []string{
 			c.BackendServer, c.VM, c.DataCentre, c.Tier, orDash(c.Mode), yesNo(c.Usable), fmt.Sprintf("%d of %d", c.InFlight, c.Allowed),
--- a/internal/ctl/fake_test.go
+++ b/internal/ctl/fake_test.go
@@ -148,7 +148,7 @@
 		return admin.Decision{VM: d.vm, Customer: customer, Refusal: "no_route", Detail: "no route of the contract matches the path"}
 	}
 	out.Candidates = []admin.Candidate{
-		{BackendServer: "portal-1", VM: "vm1", DataCentre: "rvk1", Tier: "own data centre", Mode: "active", Usable: true, Allowed: 5, Latency: 2500 * time.Microsecond},
+		{BackendServer: "portal-1", VM: "vm1", DataCentre: "rvk1", Tier: "own data centre", Mode: "active", Usable: true, Allowed: 5, Latency: contract.Duration(2500 * time.Microsecond)},
 		{BackendServer: "portal-2", VM: "vm2", DataCentre: "rvk1", Tier: "own data centre", Mode: "ejected", Reason: "ejected by its home"},
 	}
 	return out
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -15,6 +15,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/configsync"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/ejection"
+	"github.com/cowsliprun/cowsliprun/internal/entry"
 	"github.com/cowsliprun/cowsliprun/internal/home"
 )
 
@@ -112,7 +113,7 @@
 
 // Explain implements admin.Daemon.
 func (o operator) Explain(customer, method, path string) admin.Decision {
-	return o.d.entry.Explain(customer, method, path)
+	return decisionStatus(o.d.settings.VM, o.d.entry.Explain(customer, method, path))
 }
 
 // overrides maps the names of the API to overrides.
@@ -189,3 +190,17 @@
 		},
 	}
 }
+
+func decisionStatus(vm string, d entry.Decision) admin.Decision {
+	out := admin.Decision{
+		VM: vm, Customer: d.Customer, Refusal: d.Refusal, Detail: d.Detail, Route: d.Route, Service: d.Service,
+		AtMostOnce: d.AtMostOnce, Repeatable: d.Repeatable, Deadline: contract.Duration(d.Deadline), Limits: d.Limits, Floor: d.Floor,
+	}
+	for _, c := range d.Candidates {
+		out.Candidates = append(out.Candidates, admin.Candidate{
+			BackendServer: c.Backend, VM: c.VM, DataCentre: c.Locality.DataCentre, Region: c.Locality.Region, Tier: c.Tier, Mode: c.Mode,
+			Usable: c.Usable, Reason: c.Reason, InFlight: c.Load, Allowed: c.Slots, Latency: contract.Duration(c.Latency), Score: c.Score,
+		})
+	}
+	return out
+}
--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -4,17 +4,41 @@
 	"net/url"
 	"time"
 
-	"github.com/cowsliprun/cowsliprun/internal/admin"
 	"github.com/cowsliprun/cowsliprun/internal/balance"
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 )
 
+// Decision tells what would happen to a request.
+type Decision struct {
+	Customer string
+	// Refusal is the error kind that the request would get, empty when it would be served; Detail says why.
+	Refusal, Detail string
+	// Route is the path prefix of the contract that matches.
+	Route, Service         string
+	AtMostOnce, Repeatable bool
+	Deadline               time.Duration
+	Limits                 contract.Limits
+	// Floor is the number of backend servers that ejection leaves in service.
+	Floor int
+	// Candidates are the backend servers of the service as this entry sees them. A service without recent traffic has none.
+	Candidates []Candidate
+}
+
+// Candidate is one backend server in a Decision.
+type Candidate struct {
+	balance.Candidate
+	Locality catalog.Locality
+	// Usable is false when the entry would not choose it now; Reason says why.
+	Usable bool
+	Reason string
+}
+
 // Explain tells what would happen to a request of the customer now, without sending it.
-func (e *Entry) Explain(customer, method, path string) admin.Decision {
-	out := admin.Decision{VM: e.vm, Customer: customer}
-	refuse := func(kind errkind.Kind, detail string) admin.Decision {
+func (e *Entry) Explain(customer, method, path string) Decision {
+	out := Decision{Customer: customer}
+	refuse := func(kind errkind.Kind, detail string) Decision {
 		out.Refusal, out.Detail = kind.String(), detail
 		return out
 	}
@@ -38,7 +62,7 @@
 		return refuse(errkind.BadRequest, ambiguousDetail)
 	}
 	out.Route, out.Service, out.AtMostOnce = route.PathPrefix, route.Service, route.AtMostOnce
-	out.Repeatable, out.Deadline = route.Repeatable(method), contract.Duration(route.Deadline)
+	out.Repeatable, out.Deadline = route.Repeatable(method), route.Deadline
 	if !route.Allows(method) {
 		return refuse(errkind.MethodNotAllowed, "the route does not allow the method")
 	}
@@ -53,16 +77,13 @@
 	return out
 }
 
-func candidate(snapshot *catalog.Snapshot, seen balance.Candidate) admin.Candidate {
-	out := admin.Candidate{
-		BackendServer: seen.Backend, VM: seen.VM, Tier: seen.Tier, Mode: seen.Mode, Usable: seen.LeftOut == "" || seen.PutBack,
-		Reason: seen.LeftOut, InFlight: seen.Load, Allowed: seen.Slots, Latency: seen.Latency, Score: seen.Score,
-	}
+func candidate(snapshot *catalog.Snapshot, seen balance.Candidate) Candidate {
+	out := Candidate{Candidate: seen, Usable: seen.LeftOut == "" || seen.PutBack, Reason: seen.LeftOut}
 	if seen.PutBack {
 		out.Reason += "; used all the same, because the floor leaves too few others"
 	}
 	if vm := snapshot.VM(seen.VM); vm != nil {
-		out.DataCentre, out.Region = vm.Locality.DataCentre, vm.Locality.Region
+		out.Locality = vm.Locality
 	}
 	return out
 }
