Carry the memory of accepted documents between daemons

Cause: when the platform publishes a document with a lower generation at a higher revision, a faulty one, or one that was deleted and re-created, running daemons keep the accepted state, but only in their memory.

Now what a daemon has in force beyond the value (documents kept, deletions by generation) is encoded as the residue of the value. Value carries it, Revision carries its hash, and the digest of Exchange covers it. Residues are joined per document: highest generation, then deletion, then a document accepted earlier over the one of the value, then the higher XXH64 of the content; the last two are reported as same-generation. The residue is merged again under the value held, so that a document which a peer kept under an older revision and which the value lacks is deleted. A residue is decoded and checked like a value; a faulty one is refused per document, reported with the peer, and not pulled again. Until a value is applied, the content in force before travels as its residue, and a starting daemon also takes what a peer holds at an older revision.

Ruled out: comparing the revisions at which contents were accepted, because a daemon that skipped revisions does not know them; joining before the value is applied, because a document kept because of the newer value would count as deleted.

Conclusion: a replaced daemon that reached a peer before it serves has nothing older in force than that peer had, and daemons converge after healing. A conflict known to no running daemon is lost, as all state in memory is.

--- a/internal/configsync/duties.go
+++ b/internal/configsync/duties.go
@@ -29,28 +29,34 @@
 		r.mu.Unlock()
 		for _, revision := range list {
 			v, _ := r.store.Get(revision.Name)
-			err := r.apply(v)
 			r.mu.Lock()
-			r.syncer.Applied(time.Now(), v.Name, v.Revision.Revision, err)
+			memories := r.syncer.Memories(v.Name)
 			r.mu.Unlock()
+			residue, err := r.apply(v, memories)
+			r.mu.Lock()
+			push := r.syncer.Settle(time.Now(), v, memories, residue, err)
+			r.mu.Unlock()
+			if push {
+				r.pushWork.Offer(struct{}{})
+			}
 		}
 	}
 }
 
-func (r *Runner) apply(v Value) error {
+func (r *Runner) apply(v Value, memories []Memory) ([]byte, error) {
 	content, err := v.Content()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if v.Name != ListName {
-		return r.opts.Apply(v.Name, v.Revision.Revision, content)
+		return r.opts.Apply(Update{v.Name, v.Revision.Revision, content, memories})
 	}
 	list, err := ParseList(content)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	r.View(func(_ time.Time, m *membership.Members) { m.SetList(list) })
-	return nil
+	return nil, nil
 }
 
 // runExchange asks the peers of the start procedure, then compares with a random peer from time to time.
@@ -79,7 +85,7 @@
 	}
 }
 
-// exchange compares with a peer, pulls what is newer there and offers what is newer here. It returns the peer's VM.
+// exchange compares with a peer, pulls what is newer or remembered there and offers what is newer here. It returns the peer's VM.
 func (r *Runner) exchange(ctx context.Context, peer membership.VM) (string, error) {
 	digest := r.store.Digest()
 	response, err := r.opts.Peers.Exchange(ctx, peer.Address,
--- a/internal/configsync/message.go
+++ b/internal/configsync/message.go
@@ -14,7 +14,7 @@
 func toRevisions(list []Revision) []*peerapi.Revision {
 	out := make([]*peerapi.Revision, len(list))
 	for i, r := range list {
-		out[i] = &peerapi.Revision{Name: r.Name, Revision: r.Revision, Hash: r.Hash}
+		out[i] = &peerapi.Revision{Name: r.Name, Revision: r.Revision, Hash: r.Hash, Residue: r.Residue}
 	}
 	return out
 }
@@ -24,7 +24,7 @@
 	list = list[:min(len(list), maxValues)]
 	out := make([]Revision, len(list))
 	for i, r := range list {
-		out[i] = Revision{r.GetName(), r.GetRevision(), r.GetHash()}
+		out[i] = Revision{r.GetName(), r.GetRevision(), r.GetHash(), r.GetResidue()}
 	}
 	return out
 }
@@ -32,7 +32,11 @@
 func fromValues(list []*peerapi.Value) []Value {
 	out := make([]Value, len(list))
 	for i, v := range list {
-		out[i] = Value{Revision{Name: v.GetName(), Revision: v.GetRevision()}, v.GetData()}
+		residues := v.GetResidues()
+		out[i] = Value{
+			Revision: Revision{Name: v.GetName(), Revision: v.GetRevision()}, Data: v.GetData(),
+			Residues: residues[:min(len(residues), maxResidues)],
+		}
 	}
 	return out
 }
@@ -45,10 +49,10 @@
 		if !ok {
 			continue
 		}
-		if size += len(v.Data); size > valuesBytes && len(values) > 0 {
+		if size += v.size(); size > valuesBytes && len(values) > 0 {
 			return values, names[i:]
 		}
-		values = append(values, &peerapi.Value{Name: name, Revision: v.Revision.Revision, Data: v.Data})
+		values = append(values, &peerapi.Value{Name: name, Revision: v.Revision.Revision, Data: v.Data, Residues: v.Residues})
 	}
 	return values, nil
 }
--- a/internal/configsync/runner.go
+++ b/internal/configsync/runner.go
@@ -31,9 +31,10 @@
 	Incarnation uint64
 	Platform    Platform
 	Peers       PeerClient
-	// Apply puts a value in force. It gets the decompressed content, and is called on one goroutine, in the order of
-	// revisions as far as they are held. An error refuses the whole value; the previous one stays in force.
-	Apply func(name string, revision uint64, content []byte) error
+	// Apply puts a value in force, together with memories of peers. It is called on one goroutine, in the order of revisions
+	// as far as they are held, and again for the same revision when memories arrive later. It returns the residue for peers,
+	// nil when the value is enough. An error refuses the whole value, but not the memories; the previous one stays in force.
+	Apply func(u Update) (residue []byte, err error)
 	// IndexNames returns the names that an index lists. Default: ParseIndex.
 	IndexNames func(content []byte) ([]string, error)
 	// Fanout is the number of peers offered a change. Default: DefaultFanout.
--- a/internal/configsync/start.go
+++ b/internal/configsync/start.go
@@ -88,11 +88,11 @@
 	return vm.ID
 }
 
-// ToApply lists the values that are held and neither in force nor refused, by revision.
+// ToApply lists the values that are held and neither in force nor refused, or that have memories to merge, by revision.
 func (s *Syncer) ToApply() []Revision {
 	var list []Revision
 	for _, r := range s.store.Revisions() {
-		if r.Revision > s.inForce[r.Name] && s.refused[r.Name].revision != r.Revision {
+		if r.Revision > s.inForce[r.Name] && s.refused[r.Name].revision != r.Revision || len(s.memories[r.Name]) > 0 {
 			list = append(list, r)
 		}
 	}
--- a/internal/configsync/store.go
+++ b/internal/configsync/store.go
@@ -44,12 +44,18 @@
 	Name     string
 	Revision uint64
 	Hash     uint64
+	// Residue is the XXH64 of the residue, or 0 when there is none.
+	Residue uint64
 }
 
 // Value is a revision with its content, compressed with gzip.
 type Value struct {
 	Revision
 	Data []byte
+	// Residues are what a peer needs besides Data to have the same in force, compressed with gzip.
+	Residues [][]byte
+	// applied is false until SetApplied is called for this revision.
+	applied bool
 }
 
 // Content returns the decompressed content.
@@ -100,7 +106,7 @@
 	if err != nil {
 		return Invalid, s.Revision(name), err
 	}
-	v := Value{Revision{name, revision, xxhash.Sum64(content)}, data}
+	v := Value{Revision: Revision{Name: name, Revision: revision, Hash: xxhash.Sum64(content)}, Data: data}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	held, known := s.values[name]
@@ -116,6 +122,10 @@
 	}
 	if known {
 		s.digest ^= entryDigest(held.Revision)
+		v.Residue, v.Residues = held.Residue, held.Residues
+		if held.applied {
+			v.carry(held)
+		}
 	}
 	s.digest ^= entryDigest(v.Revision)
 	s.values[name] = v
@@ -167,9 +177,12 @@
 }
 
 func entryDigest(r Revision) uint64 {
-	b := make([]byte, 0, maxNameBytes+16)
+	b := make([]byte, 0, maxNameBytes+24)
 	b = binary.BigEndian.AppendUint64(b, r.Revision)
 	b = binary.BigEndian.AppendUint64(b, r.Hash)
+	if r.Residue != 0 {
+		b = binary.BigEndian.AppendUint64(b, r.Residue)
+	}
 	return xxhash.Sum64(append(b, r.Name...))
 }
 
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -50,7 +50,10 @@
 	inForce map[string]uint64
 	refused map[string]refusal
 	// conflicts holds the hash of the last conflict reported of each value, so that each is reported once.
-	conflicts  map[string]uint64
+	conflicts map[string]uint64
+	// memories holds what peers remember and is not merged yet; merged holds the hashes of what is.
+	memories   map[string][]Memory
+	merged     map[string][]uint64
 	indexNames []string
 
 	heard      time.Time
@@ -95,17 +98,18 @@
 	return &Syncer{
 		cfg: cfg, store: cfg.Store, members: cfg.Members,
 		incoming: map[string]incoming{}, pending: map[string]string{}, inForce: map[string]uint64{},
-		refused: map[string]refusal{}, conflicts: map[string]uint64{},
+		refused: map[string]refusal{}, conflicts: map[string]uint64{}, memories: map[string][]Memory{}, merged: map[string][]uint64{},
 		start: startState{tried: map[string]bool{}, answered: map[string]bool{}},
 		read:  newReadState(now, cfg.Random),
 	}
 }
 
-// Receive stores values and returns the number of those that are new. They are offered on once the start is over, and
-// at once when they come from the platform.
+// Receive stores values and returns the number of those that are new or come with a new memory. They are offered on once
+// the start is over, and at once when they come from the platform.
 func (s *Syncer) Receive(now time.Time, source string, values []Value) int {
 	stored := 0
 	for _, v := range values {
+		replaced, _ := s.store.Get(v.Name)
 		outcome, held, err := s.store.Put(v.Name, v.Revision.Revision, v.Data)
 		if in, ok := s.incoming[v.Name]; ok && in.revision <= v.Revision.Revision {
 			delete(s.incoming, v.Name)
@@ -116,6 +120,10 @@
 			stored++
 			s.counts.ValuesStored++
 			s.accept(event)
+			if held > 0 && !replaced.applied {
+				// What a peer has in force may be in the value that is skipped.
+				s.remember(Event{At: now, Name: v.Name, To: held, Source: SourcePlatform}, replaced.Data)
+			}
 		case Same:
 			s.counts.ValuesRepeated++
 		case Older:
@@ -127,6 +135,10 @@
 			s.counts.ValuesInvalid++
 			event.Kind, event.Reason = EventRefused, err.Error()
 			s.cfg.Emit(event)
+			continue
+		}
+		if s.rememberAll(event, outcome, v) && outcome != Stored {
+			stored++
 		}
 	}
 	return stored
@@ -184,28 +196,32 @@
 // Compared returns what to pull from a peer that listed its revisions, and what to offer to it. A starting daemon pulls
 // also what another peer was asked for, because it must not serve without it.
 func (s *Syncer) Compared(now time.Time, source string, listing []Revision) (pull []string, offers []Revision) {
-	theirs := make(map[string]uint64, len(listing))
+	theirs, remembered := make(map[string]uint64, len(listing)), map[string]uint64{}
 	for _, r := range listing {
 		theirs[r.Name] = r.Revision
-		if s.isNewer(now, source, r) && (!s.start.done || !s.isIncoming(now, r)) {
+		if r.Residue != 0 {
+			remembered[r.Name] = r.Residue
+		}
+		if (s.isNewer(now, source, r) || s.differsAtStart(r)) && (!s.start.done || !s.isIncoming(now, r)) {
 			pull = append(pull, r.Name)
 			s.incoming[r.Name] = incoming{r.Revision, now.Add(incomingLife)}
 		}
 	}
 	for _, r := range s.store.Revisions() {
-		if r.Revision > theirs[r.Name] {
+		if r.Revision > theirs[r.Name] || r.Residue != 0 && r.Revision == theirs[r.Name] && r.Residue != remembered[r.Name] {
 			offers = append(offers, r)
 		}
 	}
 	return pull, offers
 }
 
+// isNewer reports whether a peer has a newer value, or remembers something about the one held that is not merged here.
 func (s *Syncer) isNewer(now time.Time, source string, r Revision) bool {
 	held, ok := s.store.Get(r.Name)
 	if ok && held.Revision.Revision == r.Revision && held.Hash != r.Hash {
 		s.conflict(Event{At: now, Name: r.Name, From: r.Revision, To: r.Revision, Source: source}, r.Hash)
 	}
-	return validName(r.Name) && r.Revision > held.Revision.Revision
+	return validName(r.Name) && (r.Revision > held.Revision.Revision || s.isRemembered(held, r))
 }
 
 func (s *Syncer) isIncoming(now time.Time, r Revision) bool {
--- a/internal/contract/decode.go
+++ b/internal/contract/decode.go
@@ -46,11 +46,15 @@
 	if raw.Documents == nil {
 		return Value{}, eris.Errorf("value %s: the field \"documents\" is missing", name)
 	}
-	d := valueDecoder{name: name, detector: detector, places: map[Ref][]int{}, good: make([]Document, len(raw.Documents))}
-	for i, text := range raw.Documents {
+	return decodeDocuments(name, raw.Documents, detector), nil
+}
+
+func decodeDocuments(name string, texts []jsontext.Value, detector DetectorCheck) Value {
+	d := valueDecoder{name: name, detector: detector, places: map[Ref][]int{}, good: make([]Document, len(texts))}
+	for i, text := range texts {
 		d.add(i, text)
 	}
-	return d.finish(), nil
+	return d.finish()
 }
 
 type valueDecoder struct {
--- a/internal/contract/merge.go
+++ b/internal/contract/merge.go
@@ -26,8 +26,10 @@
 
 // Deleted is the memory of a deleted document.
 type Deleted struct {
-	Ref        Ref
-	Generation uint64
+	Ref        Ref    `json:"ref"`
+	Generation uint64 `json:"generation"`
+	// Revision is the one of the value that lacked the document. The latest deletions are remembered longest.
+	Revision uint64 `json:"revision"`
 }
 
 // Reason says why a document of a value was not taken as it is.
@@ -47,6 +49,8 @@
 	ReasonBad Reason = "bad-document"
 	// ReasonUnreadable means that the value as a whole cannot be read. What is in force stays, at its revision.
 	ReasonUnreadable Reason = "unreadable-value"
+	// ReasonPeerMemory means that a peer remembered a newer version or a deletion of the document than this daemon had.
+	ReasonPeerMemory Reason = "from-peer-memory"
 	// ReasonDeletionDeferred means that a document left the value, but stays in force because the value holds a document
 	// whose name cannot be read, which may be this one.
 	ReasonDeletionDeferred Reason = "deletion-deferred"
@@ -183,7 +187,7 @@
 			m.find(ReasonDeletionDeferred, ref, 0, doc.Version(), "")
 			m.out.Add(doc)
 		default:
-			gone = append(gone, Deleted{ref, doc.Version()})
+			gone = append(gone, Deleted{ref, doc.Version(), m.revision})
 		}
 	}
 	present := map[Ref]bool{}
@@ -191,8 +195,7 @@
 		present[doc.Ref()] = true
 	}
 	deleted := slices.DeleteFunc(slices.Clone(inForce.Deleted), func(d Deleted) bool { return present[d.Ref] })
-	deleted = append(deleted, gone...)
-	return deleted[max(0, len(deleted)-MaxDeleted):]
+	return boundDeleted(append(deleted, gone...))
 }
 
 // sameContent compares documents by their encoding, in which an absent list and an empty list are the same.
--- /dev/null
+++ b/internal/contract/residue_test.go
@@ -0,0 +1,124 @@
+package contract
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	_ "github.com/cowsliprun/cowsliprun/internal/rapidseed"
+	"pgregory.net/rapid"
+)
+
+func residues(t *rapid.T, label string) Residue {
+	var out Residue
+	for _, name := range []string{"a", "b", "c"} {
+		generation := rapid.Uint64Range(1, 3).Draw(t, label+" generation")
+		switch rapid.IntRange(0, 2).Draw(t, label+" "+name) {
+		case 1:
+			region := rapid.SampledFrom([]string{"r", "s", "t"}).Draw(t, label+" region")
+			out.Kept.Add(&DataCentre{APIVersion: APIVersion, Kind: KindDataCentre, DataCentre: name, Generation: generation, Region: region})
+		case 2:
+			out.Deleted = append(out.Deleted, Deleted{Ref{KindDataCentre, name}, generation, rapid.Uint64Range(1, 9).Draw(t, "revision")})
+		}
+	}
+	return out
+}
+
+func mustEncode(t interface{ Fatal(...any) }, r Residue) []byte {
+	data, err := EncodeResidue(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// Guards against memories that depend on the order in which daemons met: the fleet would not converge.
+func TestJoinOfResiduesIsASemilattice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := residues(t, "a"), residues(t, "b"), residues(t, "c")
+		same := func(law string, x, y Residue) {
+			if !bytes.Equal(mustEncode(t, x), mustEncode(t, y)) {
+				t.Fatalf("%s: %+v and %+v", law, x, y)
+			}
+		}
+		ab := JoinResidues(a, b)
+		same("commutative", ab, JoinResidues(b, a))
+		same("associative", JoinResidues(ab, c), JoinResidues(a, JoinResidues(b, c)))
+		same("idempotent", JoinResidues(a, a), a)
+		same("absorbing", JoinResidues(ab, a), ab)
+		data := mustEncode(t, ab)
+		if data == nil {
+			return
+		}
+		decoded, bad, err := DecodeResidue(ValueDataCentres, data, nil)
+		if err != nil || len(bad) > 0 {
+			t.Fatal(bad, err)
+		}
+		same("encoding", decoded, ab)
+	})
+}
+
+// Guards against two daemons at one value that exchange residues in different orders and differ afterwards, and against a
+// join that lowers a generation or brings back a deleted document.
+func TestRecallDoesNotDependOnOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		value := Value{Documents: residues(t, "value").Kept}
+		if rapid.Bool().Draw(t, "bad") {
+			value.Bad = []BadDocument{{Ref: Ref{KindDataCentre, rapid.SampledFrom([]string{"a", "z", ""}).Draw(t, "bad name")}}}
+		}
+		x, _ := Recall(ValueDataCentres, InForce{}, 9, value, residues(t, "x"))
+		y, _ := Recall(ValueDataCentres, InForce{}, 9, value, residues(t, "y"))
+		rx, ry := x.Residue(value), y.Residue(value)
+		xy, _ := Recall(ValueDataCentres, x, 9, value, ry)
+		yx, _ := Recall(ValueDataCentres, y, 9, value, rx)
+		fresh, _ := Recall(ValueDataCentres, InForce{}, 9, value, ry, rx)
+		want := mustEncode(t, xy.Residue(value))
+		for _, other := range []InForce{yx, fresh} {
+			if !bytes.Equal(want, mustEncode(t, other.Residue(value))) || !slices.EqualFunc(xy.Documents.All(), other.Documents.All(), sameContent) {
+				t.Fatalf("%+v and %+v", xy, other)
+			}
+		}
+		after := byRef(xy.Documents)
+		for ref, doc := range byRef(x.Documents) {
+			if now := after[ref]; now != nil && now.Version() < doc.Version() {
+				t.Fatalf("%s went from %d to %d", ref, doc.Version(), now.Version())
+			}
+		}
+		for _, d := range slices.Concat(rx.Deleted, ry.Deleted) {
+			if now := after[d.Ref]; now != nil && now.Version() <= d.Generation {
+				t.Fatalf("%s is in force at %d and was deleted at %d", d.Ref, now.Version(), d.Generation)
+			}
+		}
+	})
+}
+
+// Guards against a residue of a peer that is trusted more than a value of the platform, and against one that blocks others.
+func TestResidueOfAPeerIsChecked(t *testing.T) {
+	const good = `{"apiVersion":"cowsliprun/v1","kind":"DataCentre","dataCentre":"a","generation":1,"region":"r"}`
+	deleted := func(kind, name string, generation int) string {
+		return fmt.Sprintf(`{"ref":{"kind":%q,"name":%q},"generation":%d,"revision":1}`, kind, name, generation)
+	}
+	text := fmt.Sprintf(`{"documents":[%s,%s],"deleted":[%s,%s,%s,%s]}`, good, strings.Replace(good, `"region":"r"`, `"region":7`, 1),
+		deleted("DataCentre", "b", 2), deleted("VM", "b", 2), deleted("DataCentre", "c", 0), deleted("", "d", 1))
+	r, bad, err := DecodeResidue(ValueDataCentres, []byte(text), nil)
+	if err != nil || len(bad) != 5 || len(r.Deleted) != 1 || len(r.Kept.All()) != 0 {
+		t.Errorf("%+v, bad %+v, %v", r, bad, err) // a document that is there twice is refused twice
+	}
+	for _, text := range []string{``, `[]`, `{"x":1}`, `{"deleted":[{"x":1}]}`} {
+		if _, _, err := DecodeResidue(ValueDataCentres, []byte(text), nil); err == nil {
+			t.Errorf("the residue %q was decoded", text)
+		}
+	}
+	if _, _, err := DecodeResidue(ValueDataCentres, make([]byte, MaxResidueBytes+1), nil); err == nil {
+		t.Error("a residue over the limit was decoded")
+	}
+	var full Residue
+	for i := range 2 * MaxDeleted {
+		full.Deleted = append(full.Deleted, Deleted{Ref{KindDataCentre, fmt.Sprint(i)}, 1, uint64(i)})
+	}
+	if r, _, err := DecodeResidue(ValueDataCentres, mustEncode(t, full), nil); err != nil || len(r.Deleted) != MaxDeleted || r.Deleted[0].Revision != MaxDeleted {
+		t.Errorf("%d deletions from revision %d, %v", len(r.Deleted), r.Deleted[0].Revision, err)
+	}
+}
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -25,19 +25,23 @@
 	maxAuditedChanges = 16
 )
 
-// apply merges a value into the configuration in force. The runner calls it on one goroutine.
-func (d *Daemon) apply(name string, revision uint64, content []byte) error {
-	result, err := d.book.Apply(name, revision, content)
-	if err != nil {
-		return err
+// apply merges a value and the memories of peers into the configuration in force. The runner calls it on one goroutine.
+func (d *Daemon) apply(u configsync.Update) ([]byte, error) {
+	memories := make([]inforce.Memory, len(u.Memories))
+	for i, m := range u.Memories {
+		memories[i] = inforce.Memory{Source: m.Source, Content: m.Content}
 	}
-	d.auditChanges(name, revision, result.Changes)
-	d.auditFindings(name, revision, result.Findings)
-	select {
-	case d.published <- struct{}{}:
-	default:
+	result, err := d.book.Apply(u.Name, u.Revision, u.Content, memories...)
+	d.auditRefused(u.Name, result.Refused)
+	d.auditChanges(u.Name, u.Revision, result.Changes)
+	d.auditFindings(u.Name, u.Revision, result.Findings)
+	if err == nil || len(result.Changes) > 0 {
+		select {
+		case d.published <- struct{}{}:
+		default:
+		}
 	}
-	return nil
+	return result.Residue, err
 }
 
 // publish puts applied values in force, at most once per publishDelay.
@@ -168,7 +172,7 @@
 				Reason: fmt.Sprintf("%d more documents of this value changed", len(changes)-i)})
 			return
 		}
-		d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration", Subject: c.Ref.String(), From: generation(c.From), To: generation(c.To),
+		d.audit.Add(audit.Entry{Actor: actorOf(c.Source), Action: "configuration", Subject: c.Ref.String(), From: generation(c.From), To: generation(c.To),
 			Accepted: true, Reason: name + " at " + revision(rev)})
 	}
 }
@@ -180,8 +184,20 @@
 	return "generation " + strconv.FormatUint(g, 10)
 }
 
+func (d *Daemon) auditRefused(name string, refused []inforce.RefusedMemory) {
+	for _, r := range refused {
+		d.audit.Add(audit.Entry{Actor: actorOf(r.Source), Action: "configuration: " + string(configsync.EventRefused),
+			Subject: strings.TrimSpace(r.Ref.String()), Reason: "residue of " + name + ": " + r.Problem})
+		d.log.Part("config").Warn("A document of a peer's memory was refused.", "document", r.Ref, "value", name, "peer", r.Source, "reason", r.Problem)
+	}
+}
+
 func (d *Daemon) auditFindings(name string, rev uint64, findings []contract.Finding) {
 	for _, f := range findings {
+		if f.Reason == contract.ReasonPeerMemory {
+			d.log.Part("config").Info("A peer remembered a newer state of a document.", "document", f.Ref, "value", name, "from", f.Generation, "to", f.InForce, "detail", f.Detail)
+			continue // audited as a change
+		}
 		reason := strings.TrimSuffix(string(f.Reason)+": "+f.Detail, ": ")
 		d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration", Subject: f.Ref.String(), From: generation(f.InForce), To: generation(f.Generation),
 			Accepted: false, Reason: name + " at " + revision(rev) + ": " + reason})
--- a/internal/inforce/book.go
+++ b/internal/inforce/book.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/gzip"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -34,14 +35,21 @@
 // Change is one document that came into force, changed or was deleted.
 type Change struct {
 	Ref contract.Ref
-	// From and To are generations; 0 stands for none.
+	// From and To are generations; 0 stands for none. They are equal when a peer held other content under the same one.
 	From, To uint64
+	// Source is the peer from whose memory the change came, or empty when it came with the value.
+	Source string
 }
 
 // Result tells what an applied value changed.
 type Result struct {
-	Changes  []Change
+	Changes []Change
+	// Findings are the conflicts and refusals that are new.
 	Findings []contract.Finding
+	// Refused are the faults of memories. A faulty document of a memory does not block the others.
+	Refused []RefusedMemory
+	// Residue is what a peer needs besides the value to have the same in force, or nil when the value is enough.
+	Residue []byte
 }
 
 // New returns a book with no configuration. Snapshot returns nil until the first call of Publish.
@@ -49,38 +57,52 @@
 	return &Book{values: map[string]held{}, findings: map[string][]contract.Finding{}}
 }
 
-// Apply merges a value into what is in force. An error means that the value as a whole cannot be used and nothing changed.
-// The change shows in Snapshot after the next Publish, so that the many values of a start cost one snapshot.
-func (b *Book) Apply(name string, revision uint64, content []byte) (Result, error) {
+// Apply merges a value and the memories of peers into what is in force. An error means that the value as a whole cannot be
+// used; then only the memories are merged. The change shows in Snapshot after the next Publish, so that the many values of a
+// start cost one snapshot.
+func (b *Book) Apply(name string, revision uint64, content []byte, memories ...Memory) (Result, error) {
 	if name == contract.ValueIndex {
 		return Result{}, nil // the index lists the values; it holds no documents
 	}
-	value, err := contract.DecodeValue(name, content, ejection.CheckOverrides)
-	if err != nil {
-		return Result{}, err
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	before, err := b.restore(name)
 	if err != nil {
 		return Result{}, err
 	}
-	after, findings := contract.Merge(name, before, revision, value)
-	if after.Revision == before.Revision {
-		return Result{Findings: findings}, nil
-	}
+	residues, refused := decodeMemories(name, memories)
+	value, err := contract.DecodeValue(name, content, ejection.CheckOverrides)
+	if err != nil {
+		result, joinErr := b.applyUnread(name, revision, before, residues)
+		result.Refused = refused
+		return result, errors.Join(err, joinErr)
+	}
+	after, findings := contract.Recall(name, before, revision, value, contents(residues)...)
+	if after.Revision == before.Revision && len(residues) == 0 {
+		residue, err := contract.EncodeResidue(after.Residue(value))
+		return Result{Findings: findings, Refused: refused, Residue: residue}, err
+	}
+	plain, _ := contract.Merge(name, before, revision, value)
+	findings = append(findings, b.recalled(name, revision, value, plain, after, residues)...)
+	result, err := b.keep(name, content, value, before, after, residues)
+	result.Findings, result.Refused = b.note(name, findings), refused
+	return result, err
+}
+
+// keep replaces what is in force of a value. The caller holds mu.
+func (b *Book) keep(name string, content []byte, value contract.Value, before, after contract.InForce, residues []sourced) (Result, error) {
 	packed, err := compress(content)
 	if err != nil {
 		return Result{}, err
 	}
-	b.values[name] = held{revision: revision, content: packed, residue: after.Residue(value)}
-	if len(findings) > 0 {
-		b.findings[name] = findings
-	} else {
-		delete(b.findings, name)
+	h := held{revision: after.Revision, content: packed, residue: after.Residue(value)}
+	residue, err := contract.EncodeResidue(h.residue)
+	if err != nil {
+		return Result{}, err
 	}
+	b.values[name] = h
 	b.put(name, after)
-	return Result{Changes: changes(before.Documents, after.Documents), Findings: findings}, nil
+	return Result{Changes: changes(before.Documents, after.Documents, value, residues), Residue: residue}, nil
 }
 
 func (b *Book) put(name string, after contract.InForce) {
@@ -161,22 +183,28 @@
 	return contract.Restore(h.revision, value, h.residue), nil
 }
 
-func changes(before, after contract.Documents) []Change {
-	old := map[contract.Ref]uint64{}
-	for _, doc := range before.All() {
-		old[doc.Ref()] = doc.Version()
-	}
+func changes(before, after contract.Documents, value contract.Value, residues []sourced) []Change {
+	old, inValue := byRef(before), byRef(value.Documents)
 	var list []Change
 	for _, doc := range after.All() {
 		ref := doc.Ref()
-		from, existed := old[ref]
+		was := old[ref]
 		delete(old, ref)
-		if !existed || from != doc.Version() {
-			list = append(list, Change{Ref: ref, From: from, To: doc.Version()})
+		if was != nil && was.Version() == doc.Version() && contract.SameContent(was, doc) {
+			continue
+		}
+		c := Change{Ref: ref, From: version(was), To: doc.Version()}
+		if inValue[ref] == nil || !contract.SameContent(inValue[ref], doc) {
+			c.Source = sourceOf(doc, residues)
 		}
+		list = append(list, c)
 	}
-	for ref, from := range old {
-		list = append(list, Change{Ref: ref, From: from})
+	for ref, was := range old {
+		c := Change{Ref: ref, From: was.Version()}
+		if inValue[ref] != nil {
+			c.Source = sourceOfDeletion(ref, was.Version(), residues)
+		}
+		list = append(list, c)
 	}
 	slices.SortFunc(list, func(a, b Change) int {
 		return slices.Compare([]string{a.Ref.Kind, a.Ref.Name}, []string{b.Ref.Kind, b.Ref.Name})
--- /dev/null
+++ b/internal/inforce/memory_test.go
@@ -0,0 +1,100 @@
+package inforce
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+)
+
+// Guards against a replaced daemon that puts an older contract in force than its peers, and against a change from a peer's
+// memory that an operator cannot trace.
+func TestMemoryOfAPeerBringsTheAcceptedContractBack(t *testing.T) {
+	name := contract.ValueOf(contract.Ref{Kind: contract.KindContract, Name: "grocer"})
+	running, replaced := New(), New()
+	if result := mustApply(t, running, name, 10, value(contractJSON("grocer", 5, 50))); result.Residue != nil {
+		t.Errorf("residue without a conflict: %s", result.Residue)
+	}
+	outdated := value(contractJSON("grocer", 3, 30))
+	residue := mustApply(t, running, name, 11, outdated).Residue
+	result, err := replaced.Apply(name, 11, outdated, Memory{"vm1", residue}, Memory{"vm2", []byte("{")}, Memory{"vm3", value(contractJSON("grocer", 9, -1))})
+	if err != nil || len(result.Refused) != 2 || result.Refused[0].Source != "vm2" || result.Refused[1].Source != "vm3" {
+		t.Errorf("refused %+v, %v", result.Refused, err)
+	}
+	if want := (Change{Ref: result.Changes[0].Ref, To: 5, Source: "vm1"}); len(result.Changes) != 1 || result.Changes[0] != want {
+		t.Errorf("changes %+v", result.Changes)
+	}
+	isRecalled := func(f contract.Finding) bool {
+		return f.Reason == contract.ReasonPeerMemory && f.Generation == 3 && f.InForce == 5 && f.Detail == "document, remembered by vm1"
+	}
+	if !slices.ContainsFunc(replaced.Findings(), isRecalled) {
+		t.Errorf("findings %+v", replaced.Findings())
+	}
+	if c := replaced.Publish().Customer("grocer"); c.Limits.RatePerSecond != 50 || string(result.Residue) != string(residue) {
+		t.Errorf("in force %+v, residue %s, want %s", c, result.Residue, residue)
+	}
+	if again := mustApplyMemory(t, replaced, name, 11, outdated, residue); len(again.Changes)+len(again.Findings) > 0 {
+		t.Errorf("the same memory again: %+v", again)
+	}
+	if !slices.ContainsFunc(replaced.Findings(), isRecalled) {
+		t.Error("the status forgot where the contract came from")
+	}
+	mustApply(t, replaced, name, 12, value(contractJSON("grocer", 6, 60)))
+	if len(replaced.Findings()) != 0 {
+		t.Errorf("findings after a good change: %+v", replaced.Findings())
+	}
+}
+
+func mustApplyMemory(t *testing.T, b *Book, name string, revision uint64, content, residue []byte) Result {
+	t.Helper()
+	result, err := b.Apply(name, revision, content, Memory{"vm1", residue})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// Guards against a value that cannot be read and hides what the peers of a replaced daemon have in force.
+func TestMemoryReplacesAValueThatCannotBeRead(t *testing.T) {
+	name := contract.ValueOf(contract.Ref{Kind: contract.KindContract, Name: "grocer"})
+	running, replaced := New(), New()
+	mustApply(t, running, name, 10, value(contractJSON("grocer", 5, 50)))
+	result, err := running.Apply(name, 11, []byte("{"))
+	if err == nil {
+		t.Fatal("an unreadable value was applied")
+	}
+	result, err = replaced.Apply(name, 11, []byte("{"), Memory{"vm1", result.Residue})
+	if err == nil || len(result.Changes) != 1 || result.Changes[0].Source != "vm1" {
+		t.Errorf("%+v, %v", result, err)
+	}
+	if c := replaced.Publish().Customer("grocer"); c == nil || c.Generation != 5 {
+		t.Errorf("in force %+v", c)
+	}
+	if result := mustApply(t, replaced, name, 12, value()); len(result.Changes) != 1 || replaced.Publish().Customer("grocer") != nil {
+		t.Errorf("a deletion after it: %+v", result.Changes)
+	}
+}
+
+// Guards against daemons that keep different contents under one generation for ever, and against a silent choice.
+func TestPeersAgreeOnOneContentOfAGeneration(t *testing.T) {
+	name := contract.ValueOf(contract.Ref{Kind: contract.KindContract, Name: "grocer"})
+	outdated := value(contractJSON("grocer", 1, 10))
+	books := [2]*Book{New(), New()}
+	var residues [2][]byte
+	for i, b := range books {
+		mustApply(t, b, name, 10, value(contractJSON("grocer", 5, float64(50+i))))
+		residues[i] = mustApply(t, b, name, 11, outdated).Residue
+	}
+	changed := 0
+	for i, b := range books {
+		result := mustApplyMemory(t, b, name, 11, outdated, residues[1-i])
+		changed += len(result.Changes)
+		if !slices.ContainsFunc(result.Findings, func(f contract.Finding) bool { return f.IsConflict() && f.Reason == contract.ReasonSameGeneration }) {
+			t.Errorf("findings %+v", result.Findings)
+		}
+	}
+	a, b := books[0].Publish().Customer("grocer"), books[1].Publish().Customer("grocer")
+	if a.Limits.RatePerSecond != b.Limits.RatePerSecond || changed != 1 {
+		t.Errorf("rates %v and %v, %d changes", a.Limits.RatePerSecond, b.Limits.RatePerSecond, changed)
+	}
+}
