Share header values between hops in place of copying them

Cause: CopyHeaders allocated a slice for each header at the entry and at the home, in both directions. Change: the values are shared, with limited capacity. No code changes values in place. Tests pass with the race detector.

--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -62,6 +62,11 @@
 		if isHopByHop(name) || options[name] || strings.HasPrefix(name, internalPrefix) {
 			continue
 		}
+		if len(dst[name]) == 0 {
+			// The values are shared, and the limited capacity keeps a later Add from writing into those of src.
+			dst[name] = values[:len(values):len(values)]
+			continue
+		}
 		dst[name] = append(dst[name], values...)
 	}
 }
