Keep one decision on shedding from a full queue

Cause: internal/limits/shed.go and the queue of the home decided the same, and only the queue was used. The cases of its test run against the queue, with the same expectations. Measured: home and limits tests pass; home with the race detector.

--- a/internal/home/slots_test.go
+++ b/internal/home/slots_test.go
@@ -102,3 +102,47 @@
 		}
 	})
 }
+
+// Equals must not displace each other, and among the lowest priority the request that has waited least must give way.
+func TestFullQueueGivesUpTheNewestOfTheLowestPriority(t *testing.T) {
+	const none = -1
+	for _, c := range []struct {
+		queued             []int
+		capacity, priority int
+		// displaced is the index of the waiter that is refused, or none.
+		displaced int
+		refused   bool
+	}{
+		{nil, 0, 9, none, true},
+		{[]int{1}, 2, 0, none, false},
+		{[]int{5, 5}, 2, 5, none, true},
+		{[]int{5, 5}, 2, 6, 1, false},
+		{[]int{3, 1, 1, 4}, 4, 2, 2, false},
+	} {
+		s := &slots{queueMax: c.capacity}
+		var queued []*waiter
+		for _, priority := range c.queued {
+			queued = append(queued, &waiter{priority: priority, done: make(chan error, 1)})
+		}
+		s.waiters = append(s.waiters, queued...)
+		_, err := s.enqueue(c.priority)
+		if refused := errkind.Of(err) == errkind.SlotsFull; refused != c.refused || refused != (err != nil) {
+			t.Errorf("%v, capacity %d, priority %d: %v", c.queued, c.capacity, c.priority, err)
+		}
+		for i, w := range queued {
+			select {
+			case err := <-w.done:
+				if i != c.displaced || errkind.Of(err) != errkind.Shed {
+					t.Errorf("%v, capacity %d, priority %d: waiter %d got %v", c.queued, c.capacity, c.priority, i, err)
+				}
+			default:
+				if i == c.displaced {
+					t.Errorf("%v, capacity %d, priority %d: waiter %d was kept", c.queued, c.capacity, c.priority, i)
+				}
+			}
+		}
+		if want := min(len(c.queued)+1, c.capacity); len(s.waiters) != want {
+			t.Errorf("%v, capacity %d, priority %d: %d wait, want %d", c.queued, c.capacity, c.priority, len(s.waiters), want)
+		}
+	}
+}
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -205,25 +205,6 @@
 	}
 }
 
-// Shares only pay off when the lower priority gives way, and equals must not displace each other.
-func TestShed(t *testing.T) {
-	for _, c := range []struct {
-		queued             []int
-		capacity, priority int
-		want               ShedDecision
-	}{
-		{nil, 0, 9, ShedDecision{Action: ShedNew}},
-		{[]int{1}, 2, 0, ShedDecision{}},
-		{[]int{5, 5}, 2, 5, ShedDecision{Action: ShedNew}},
-		{[]int{5, 5}, 2, 6, ShedDecision{Action: ShedQueued, Index: 1}},
-		{[]int{3, 1, 1, 4}, 4, 2, ShedDecision{Action: ShedQueued, Index: 2}},
-	} {
-		if got := Shed(c.queued, c.capacity, c.priority); got != c.want {
-			t.Errorf("Shed(%v, %d, %d) = %+v, want %+v", c.queued, c.capacity, c.priority, got, c.want)
-		}
-	}
-}
-
 // A share too small for one request in its lease would never admit any, and many entries of a small customer would all starve.
 func TestSmallPartIsGrantedInWholeRequests(t *testing.T) {
 	h := readyHolder("h", "h")
