Test the entry's deadlines, tries and responses, and fix what they show

Cause, each found by a test that fails without its fix: - A try was cancelled before its end was reported, so every broken connection looked like a caller that left. Only failed dials opened the breaker of a path; a VM cut off while it had requests was never avoided (36 of 200 requests in the test). - A chunked response that a backend server cut early reached the entry as a broken connection. With the first fix it would open the breaker of the whole VM after three. A stream that the home reset is now backend_broken, and the path counts as good. - A backend server that answered 101 unasked gave the caller an empty response with status 200 and outcome answered. It is answer_invalid now. Ruled out: holding the header of streamed responses back until the first bytes, because it would delay streams that start slowly; golang.org/x/net/http2 for the type of the error, because errors of net/http convert to a struct with the same fields and the import needs a further module.

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -50,22 +50,22 @@
 
 func (h homes) RoundTrip(r *http.Request) (*http.Response, error) { return h(r) }
 
-// newEntry returns the handler of an entry in region r1 in front of the homes of the snapshot.
-func newEntry(snapshot *catalog.Snapshot, transport http.RoundTripper, observer entry.Observer) http.Handler {
+// newEntry returns an entry in region r1 in front of the homes of the snapshot.
+func newEntry(snapshot *catalog.Snapshot, transport http.RoundTripper, observer entry.Observer) *entry.Entry {
 	return entry.New(entry.Options{
 		VM: "vm0", Locality: catalog.Locality{DataCentre: "dc0", Region: "r1"}, Seed: 1, Observer: observer,
 		Snapshot: func() *catalog.Snapshot { return snapshot }, Transport: transport,
-	}).Handler()
+	})
 }
 
-func ask(h http.Handler, method, target, body string, header ...string) *httptest.ResponseRecorder {
+func ask(e *entry.Entry, method, target, body string, header ...string) *httptest.ResponseRecorder {
 	r := httptest.NewRequest(method, target, strings.NewReader(body))
 	r.Header.Set("Authorization", "Bearer "+apiKey)
 	for i := 0; i < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
 	w := httptest.NewRecorder()
-	h.ServeHTTP(w, r)
+	e.Handler().ServeHTTP(w, r)
 	return w
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -77,10 +77,11 @@
 		defer timer.Stop()
 	}
 	err := t.do(tryCtx, e.transport, r)
+	// The report comes before the cancellation, which would make a broken path look like a caller that left.
+	e.report(time.Now(), t, err, tryCtx)
 	if err != nil {
 		t.cancel()
 	}
-	e.report(time.Now(), t, err, tryCtx)
 	return err
 }
 
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -151,9 +152,33 @@
 	if e := t.late(ctx, err); e != nil {
 		return e
 	}
+	if resetByHome(err) {
+		t.reported = true
+		return errkind.Wrap(errkind.BackendBroken, err, "the response of the backend server was cut")
+	}
 	return errkind.Wrap(errkind.PathBroken, err, "the connection to the daemon of VM "+t.vm+" broke")
 }
 
+// resetByHome reports whether the home itself ended the stream, as it does when a backend server cuts a response before its
+// header was passed on. The path works then; counted against it, one bad backend server would take its whole VM out of use.
+func resetByHome(err error) bool {
+	var reset streamError
+	return errors.As(err, &reset) && reset.Code == internalError
+}
+
+// internalError is the HTTP/2 error code (RFC 9113 section 7) of a stream whose handler aborted.
+const internalError = 0x2
+
+// streamError has the fields of http2.StreamError. The errors of net/http convert to any struct with these fields by errors.As.
+type streamError struct {
+	StreamID uint32
+	Code     uint32
+	Cause    error
+}
+
+// Error tells the code and the cause.
+func (e streamError) Error() string { return fmt.Sprintf("stream error %d: %v", e.Code, e.Cause) }
+
 // late returns the error for a try that ended by time, or nil.
 func (t *try) late(ctx context.Context, err error) error {
 	switch {
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -150,6 +150,10 @@
 // checkFraming refuses a response whose end cannot be told from a cut: HTTP/1.0 style bodies that end with the connection.
 func (x *exchange) checkFraming() error {
 	resp := x.response
+	if resp.StatusCode < http.StatusOK {
+		// net/http passes 101 on. HTTP/2 has no such status, and the entry would get an empty response with status 200.
+		return errkind.New(errkind.AnswerInvalid, "the backend server switched protocols, which no request asks for")
+	}
 	bodyless := resp.Request.Method == http.MethodHead || resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified
 	if bodyless || resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 {
 		return nil
