Close the connection after chunked requests for operation keys too

Cause: POST /.cowslip/operation-keys has a handler of its own, so a request there with both framing headers kept its connection and the bytes behind it ran as a second request. Change: the rule applies in front of the router. Measured: a new row of the table of malformed requests fails without the change (201, then 200 for the smuggled request); entry and daemon tests pass with the race detector.

--- a/internal/daemon/malformed_test.go
+++ b/internal/daemon/malformed_test.go
@@ -89,6 +89,7 @@
 		{"negative Content-Length", "POST /a HTTP/1.1\r\n" + auth + "Content-Length: -3\r\n\r\nabc" + smuggled, []string{"400"}, nil},
 		{"Content-Length with Transfer-Encoding", "POST /a HTTP/1.1\r\n" + auth + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, []string{"200"}, []string{"POST /a "}},
 		{"Transfer-Encoding with Content-Length", "POST /a HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\nContent-Length: 0\r\n\r\n3\r\nabc\r\n0\r\n\r\n" + smuggled, []string{"200"}, []string{"POST /a abc"}},
+		{"both framings of a request for a key", "POST /.cowslip/operation-keys?path=/orders/once/7 HTTP/1.1\r\n" + auth + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, []string{"201"}, nil},
 		{"unknown Transfer-Encoding", "POST /a HTTP/1.1\r\n" + auth + "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + smuggled, []string{"501"}, nil},
 		{"two Transfer-Encoding", "POST /a HTTP/1.1\r\n" + auth + "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n" + smuggled, []string{"501"}, nil},
 		{"Transfer-Encoding in HTTP/1.0", "POST /a HTTP/1.0\r\n" + auth + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled, []string{"400"}, nil},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -126,7 +126,12 @@
 	// Methods and targets that chi does not know are refused by checkTarget, with an outcome.
 	router.NotFound(e.serve)
 	router.MethodNotAllowed(e.serve)
-	return router
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if chunkedHTTP1(r) {
+			w.Header().Set("Connection", "close")
+		}
+		router.ServeHTTP(w, r)
+	})
 }
 
 // call is one request of a caller with the parts of the contract that apply to it.
@@ -142,9 +147,6 @@
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
 	id := forward.NewRequestID()
 	w.Header().Set(forward.HeaderRequestID, id)
-	if chunkedHTTP1(r) {
-		w.Header().Set("Connection", "close")
-	}
 	c, err := e.admit(r)
 	if err != nil {
 		e.fail(w, err)
