Let the queue of a backend server follow a change of its slots

Cause: the queue kept the bound of the slots that the backend server had first; the design bounds it at one request per slot. Change: a new number of slots sets the bound. Requests that wait above a lowered one stay. Measured: the test of configuration changes fails without the change (4 may wait at 9 slots); home and daemon tests pass with the race detector.

--- a/internal/home/member.go
+++ b/internal/home/member.go
@@ -61,6 +61,7 @@
 		return
 	}
 	m.slotCount, m.config = b.Slots, cfg
+	m.slots.setQueue(b.Slots)
 	m.life.Reconfigure(now, cfg, b.Slots)
 }
 
--- a/internal/home/siblings_test.go
+++ b/internal/home/siblings_test.go
@@ -113,6 +113,12 @@
 	if e := h.Explain(now)[0]; e.Ejection.State.Mode != ejection.Active || e.Ejection.State.Allowed != 4 {
 		t.Errorf("after a change of the detector: %v with %d slots", e.Ejection.State.Mode, e.Ejection.State.Allowed)
 	}
+	more := fleetOf(6, 5)
+	more.BackendServer("b0").Slots = 9
+	h.Apply(more)
+	if got := h.member("b0").slots.queueMax; got != 9 {
+		t.Errorf("%d requests may wait at a backend server that now has 9 slots", got)
+	}
 	h.Apply(catalog.Build(nil))
 	if h.member("b0") == nil {
 		t.Error("a removed backend server is refused before its reservations have ended")
--- a/internal/home/slots.go
+++ b/internal/home/slots.go
@@ -133,6 +133,13 @@
 	s.admit()
 }
 
+// setQueue changes the number of requests that may wait. Those that wait above a lowered number stay.
+func (s *slots) setQueue(size int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queueMax = size
+}
+
 func (s *slots) admit() {
 	for s.inFlight < s.limit {
 		i := s.highest()
