End a try on a silent path also when the service is slow

Lookups timed out at their deadline (deadline_exceeded) when an entry's path to a VM was silent while half of the backend servers near it were slow. A try is ended after 20 times the service's normal time so that another one can follow, but not at all when twice that is beyond the deadline: with a normal time of 100 ms and a deadline of 3 s every lookup that went to the silent path was lost.

A try now ends at half of the remaining time in that case, as long as that is at least 4 times the normal time.

Ruled out: a shorter limit for requests that try a failed path only. Remains: a timeout is no evidence against the path, so the circuit breaker opens only when the connection fails its ping after 4 s.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -18,6 +18,9 @@
 const (
 	tryFactor  = 20
 	minTryTime = 250 * time.Millisecond
+	// leastTryFactor is the factor at which a try is still ended when the deadline leaves no time for tryFactor. Without it a
+	// service that is slow as a whole loses every lookup that a broken path swallows.
+	leastTryFactor = 4
 )
 
 // errTryTime ends a try that took too long, while the request itself goes on.
@@ -93,9 +96,12 @@
 	if normal.Members == 0 {
 		return 0, false
 	}
-	limit := max(minTryTime, tryFactor*normal.ServiceTime)
 	deadline, ok := ctx.Deadline()
-	return limit, ok && time.Until(deadline) > 2*limit
+	if !ok {
+		return 0, false
+	}
+	limit, half := max(minTryTime, tryFactor*normal.ServiceTime), time.Until(deadline)/2
+	return min(limit, half), half > max(minTryTime, leastTryFactor*normal.ServiceTime)
 }
 
 // report tells the balancer how a try ended: what concerns the backend server, what the path, and what neither.
