Cover drains, cuts, pauses and configuration faults by scenarios

- A load that asks a draining daemon for an operation key goes to another daemon, because a draining one issues none.
Lookups and notes get no such excuse.

--- a/test/scenario/await_test.go
+++ b/test/scenario/await_test.go
@@ -31,6 +31,9 @@
 	"answered":        moreAnswered,
 	"limited":         moreLimited,
 	"document":        documentInForce,
+	"content":         contentInForce,
+	"told":            told,
+	"conflict":        func(_ *testscript.TestScript, w *world, _ []string) condition { return w.anyStatus(hasConflict) },
 	"finding":         findingShown,
 	"audit":           auditHas,
 	"leaving":         func(_ *testscript.TestScript, w *world, a []string) condition { return w.status(a[0], isLeaving) },
@@ -119,6 +122,8 @@
 func isBehind(st admin.Status) bool  { return st.Configuration.Platform.Behind }
 func isDown(st admin.Status) bool    { return st.Configuration.Platform.Down }
 
+func hasConflict(st admin.Status) bool { return len(st.Configuration.Conflicts) > 0 }
+
 // backends returns the backend servers as their homes show them. Daemons that do not respond are left out.
 func (w *world) backends() map[string]home.Explanation {
 	all := map[string]home.Explanation{}
@@ -201,6 +206,24 @@
 	})
 }
 
+// contentInForce: content KIND NAME TEXT [VM...], the document in force contains the text as JSON.
+func contentInForce(_ *testscript.TestScript, w *world, args []string) condition {
+	ref := contract.Ref{Kind: args[0], Name: args[1]}
+	return w.onVMs(args[3:], func(vm string) (bool, string) {
+		var docs contract.Documents
+		if err := w.get(vm, "/v1/documents?value="+url.QueryEscape(contract.ValueOf(ref)), &docs); err != nil {
+			return false, err.Error()
+		}
+		for _, doc := range docs.All() {
+			if doc.Ref() == ref {
+				data, err := json.Marshal(doc)
+				return err == nil && strings.Contains(string(data), args[2]), string(data)
+			}
+		}
+		return false, "no such document"
+	})
+}
+
 func (w *world) onVMs(vms []string, test func(vm string) (bool, string)) condition {
 	return func() (bool, string) {
 		list := vms
@@ -248,6 +271,16 @@
 	})
 }
 
+// told: told VM CUSTOMER PATH WANT, what a caller of the VM gets for a lookup: an error kind or "answered".
+func told(_ *testscript.TestScript, w *world, args []string) condition {
+	return func() (bool, string) {
+		l := &load{world: w, key: args[1] + "-key", client: w.client}
+		want := expected{method: http.MethodGet, path: args[2], echo: "told"}
+		a := l.send(args[0], want.request(), want)
+		return a.kind == args[3] || a.isAnswered() && args[3] == "answered", a.String()
+	}
+}
+
 // exited: exited NAME. An exit status other than 0 is a failure at once.
 func exited(ts *testscript.TestScript, w *world, args []string) condition {
 	p := w.process(ts, args[0])
--- a/test/scenario/check_test.go
+++ b/test/scenario/check_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -106,3 +107,44 @@
 	}
 	return true
 }
+
+// Shares and base allowances together admit up to 13 tenths of a rate: nine tenths from shares, and a tenth times
+// limits.DefaultBaseFactor from base allowances. Each daemon may add one request at once.
+const admittedTenths = 13
+
+// cmdRate requires that the loads together were admitted no more often than a contract allows in the time in which they ran, and
+// that the limit refused something: rate PER_SECOND BURST LOAD...
+func cmdRate(ts *testscript.TestScript, w *world, args []string) {
+	rate, err := strconv.ParseFloat(args[0], 64)
+	ts.Check(err)
+	burst, err := strconv.ParseFloat(args[1], 64)
+	ts.Check(err)
+	var begun, ended time.Time
+	admitted, refused := 0, 0
+	for _, name := range args[2:] {
+		l := w.loads[name]
+		l.stop()
+		if begun.IsZero() || l.begun.Before(begun) {
+			begun = l.begun
+		}
+		if l.ended.After(ended) {
+			ended = l.ended
+		}
+		for _, r := range l.records {
+			for _, a := range r.attempts {
+				switch {
+				case a.isLimited():
+					refused++
+				case a.outcome != outcomeUnsent:
+					admitted++
+				}
+			}
+		}
+	}
+	window := ended.Sub(begun)
+	allowed := rate*admittedTenths/10*window.Seconds() + burst + float64(len(w.callers))
+	ts.Logf("%d requests admitted in %s, at most %.0f allowed, %d refused", admitted, window.Round(time.Millisecond), allowed, refused)
+	if float64(admitted) > allowed || refused == 0 {
+		ts.Fatalf("%d requests admitted in %s, at most %.0f allowed, %d refused", admitted, window, allowed, refused)
+	}
+}
--- a/test/scenario/load_test.go
+++ b/test/scenario/load_test.go
@@ -129,7 +129,9 @@
 					return
 				}
 				send(ctx, r, n)
-				l.finish(r)
+				if ctx.Err() == nil || !r.isWaiting() {
+					l.finish(r)
+				}
 				sleep(ctx, l.pause)
 			}
 		})
@@ -163,6 +165,12 @@
 	return &record{name: l.name + "-" + strconv.Itoa(l.next)}, l.next
 }
 
+// isWaiting says that the last send was refused by a limit, so that the caller would still send again. When the load stops then, the
+// request has no end to judge.
+func (r *record) isWaiting() bool {
+	return len(r.attempts) > 0 && r.attempts[len(r.attempts)-1].isLimited()
+}
+
 func (l *load) finish(r *record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -227,6 +235,10 @@
 func (l *load) operation(ctx context.Context, r *record, n int) {
 	want := expected{method: http.MethodPost, path: "/orders/" + r.name, echo: r.name, body: strings.Repeat(r.name+" ", 100)}
 	issued := l.deliver(ctx, r, n, want.request, want)
+	for i := 1; issued.kind == "draining" && i < len(l.vms); i++ {
+		// A daemon that leaves issues no keys, because its memory of operations ends with it.
+		issued = l.deliver(ctx, r, n+i, want.request, want)
+	}
 	if issued.key == "" {
 		return
 	}
