Rank the content of a value below accepted documents of the same generation

Cause: until a value is applied, a peer sends the content it had in force before. That content can hold a document that the peer refused; at an equal generation the join chose by hash, so the refused one replaced the one in force. Ruled out: letting the document in force always win (daemons that accepted different ones would never agree). Change: carried content travels apart from residues and ranks below them.

--- a/internal/configsync/message.go
+++ b/internal/configsync/message.go
@@ -35,7 +35,7 @@
 		residues := v.GetResidues()
 		out[i] = Value{
 			Revision: Revision{Name: v.GetName(), Revision: v.GetRevision()}, Data: v.GetData(),
-			Residues: residues[:min(len(residues), maxResidues)],
+			Residues: residues[:min(len(residues), maxResidues)], Carried: v.GetCarried(),
 		}
 	}
 	return out
@@ -52,7 +52,7 @@
 		if size += v.size(); size > valuesBytes && len(values) > 0 {
 			return values, names[i:]
 		}
-		values = append(values, &peerapi.Value{Name: name, Revision: v.Revision.Revision, Data: v.Data, Residues: v.Residues})
+		values = append(values, &peerapi.Value{Name: name, Revision: v.Revision.Revision, Data: v.Data, Residues: v.Residues, Carried: v.Carried})
 	}
 	return values, nil
 }
--- a/internal/configsync/residue.go
+++ b/internal/configsync/residue.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// maxResidues of one value in a message: a residue and the content that it belongs to.
+	// maxResidues of one value in a message.
 	maxResidues = 2
 	// maxMemories bounds the memories of one value that wait to be merged. Repair supplies those that are dropped.
 	maxMemories = 16
@@ -21,7 +21,10 @@
 	// Source is the ID of the daemon that supplied it.
 	Source  string
 	Content []byte
-	hash    uint64
+	// Raw is true for the content of a value. It may hold documents that the peer refused, so it ranks below what a daemon
+	// accepted under the same generation.
+	Raw  bool
+	hash uint64
 }
 
 // Update is a value to put in force with the memories of peers to merge.
@@ -36,7 +39,7 @@
 // from that of a daemon that never had the applied value, so that an exchange in between finds the difference.
 func (v *Value) carry(applied Value) {
 	if holdsDocuments(v.Name) {
-		v.Residue, v.Residues = applied.Residue^applied.Hash, append(slices.Clone(applied.Residues), applied.Data)
+		v.Residue, v.Residues, v.Carried = applied.Residue^applied.Hash, applied.Residues, applied.Data
 	}
 }
 
@@ -44,7 +47,7 @@
 func holdsDocuments(name string) bool { return name != IndexName && name != ListName }
 
 func (v Value) size() int {
-	size := len(v.Data)
+	size := len(v.Data) + len(v.Carried)
 	for _, r := range v.Residues {
 		size += len(r)
 	}
@@ -54,7 +57,7 @@
 // SetApplied records the residue of an applied value and reports whether the residue of the value held changed by it. When a
 // newer value is held already, peers get what was applied along with it.
 func (s *Store) SetApplied(applied Value, residue []byte) bool {
-	applied.Residue, applied.Residues = 0, nil
+	applied.Residue, applied.Residues, applied.Carried = 0, nil, nil
 	if len(residue) > 0 {
 		applied.Residue, applied.Residues = xxhash.Sum64(residue), [][]byte{Compress(residue)}
 	}
@@ -66,7 +69,7 @@
 	}
 	before := held.Revision
 	if held.Revision.Revision == applied.Revision.Revision {
-		held.applied, held.Residue, held.Residues = true, applied.Residue, applied.Residues
+		held.applied, held.Residue, held.Residues, held.Carried = true, applied.Residue, applied.Residues, nil
 	} else {
 		held.carry(applied)
 	}
@@ -79,16 +82,19 @@
 // is held: the peer may have it in force.
 func (s *Syncer) rememberAll(event Event, outcome Outcome, v Value) (added bool) {
 	for _, data := range v.Residues {
-		added = s.remember(event, data) || added
+		added = s.remember(event, data, false) || added
+	}
+	if len(v.Carried) > 0 {
+		added = s.remember(event, v.Carried, true) || added
 	}
 	if !s.start.done && (outcome == Older || outcome == Conflict) && event.Source != SourcePlatform {
-		added = s.remember(event, v.Data) || added
+		added = s.remember(event, v.Data, true) || added
 	}
 	return added
 }
 
 // remember keeps a memory until it is merged. It returns false when there is nothing new in it.
-func (s *Syncer) remember(event Event, data []byte) bool {
+func (s *Syncer) remember(event Event, data []byte, raw bool) bool {
 	name := event.Name
 	if !holdsDocuments(name) {
 		return false
@@ -99,7 +105,7 @@
 		s.cfg.Emit(event)
 		return false
 	}
-	m := Memory{event.Source, content, hashOf(content)}
+	m := Memory{event.Source, content, raw, hashOf(content)}
 	held := s.memories[name]
 	if s.isMerged(name, m.hash) || len(held) >= maxMemories || slices.ContainsFunc(held, func(o Memory) bool { return o.hash == m.hash }) {
 		return false
--- a/internal/configsync/residue_test.go
+++ b/internal/configsync/residue_test.go
@@ -40,7 +40,7 @@
 	}
 	var list []inforce.Memory
 	for _, m := range memories {
-		list = append(list, inforce.Memory{Source: m.Source, Content: m.Content})
+		list = append(list, inforce.Memory{Source: m.Source, Content: m.Content, Raw: m.Raw})
 	}
 	d.inBook = nil
 	result, err := d.book.Apply(v.Name, v.Revision.Revision, content, list...)
--- a/internal/configsync/store.go
+++ b/internal/configsync/store.go
@@ -54,6 +54,8 @@
 	Data []byte
 	// Residues are what a peer needs besides Data to have the same in force, compressed with gzip.
 	Residues [][]byte
+	// Carried is the content in force while Data is not applied yet, compressed with gzip.
+	Carried []byte
 	// applied is false until SetApplied is called for this revision.
 	applied bool
 }
@@ -122,7 +124,7 @@
 	}
 	if known {
 		s.digest ^= entryDigest(held.Revision)
-		v.Residue, v.Residues = held.Residue, held.Residues
+		v.Residue, v.Residues, v.Carried = held.Residue, held.Residues, held.Carried
 		if held.applied {
 			v.carry(held)
 		}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -122,7 +122,7 @@
 			s.accept(event)
 			if held > 0 && !replaced.applied {
 				// What a peer has in force may be in the value that is skipped.
-				s.remember(Event{At: now, Name: v.Name, To: held, Source: SourcePlatform}, replaced.Data)
+				s.remember(Event{At: now, Name: v.Name, To: held, Source: SourcePlatform}, replaced.Data, true)
 			}
 		case Same:
 			s.counts.ValuesRepeated++
--- a/internal/contract/residue.go
+++ b/internal/contract/residue.go
@@ -88,7 +88,9 @@
 	doc        Document
 	// inValue is true when the document is the one of the value that is merged. It loses against another document of the
 	// same generation, which was accepted before it.
-	inValue  bool
+	inValue bool
+	// raw is true when the document comes from the content of a value, which a peer may have refused.
+	raw      bool
 	hash     uint64
 	revision uint64
 }
@@ -97,11 +99,13 @@
 	rank := func(r remembered) int {
 		switch {
 		case r.doc == nil:
-			return 2
+			return 3
 		case r.inValue:
 			return 0
+		case r.raw:
+			return 1
 		}
-		return 1
+		return 2
 	}
 	return cmp.Or(cmp.Compare(r.generation, other.generation), cmp.Compare(rank(r), rank(other)),
 		cmp.Compare(r.hash, other.hash), cmp.Compare(r.revision, other.revision))
@@ -115,7 +119,7 @@
 
 func (m *memory) add(r Residue) {
 	for _, doc := range r.Kept.All() {
-		e := remembered{generation: doc.Version(), doc: doc}
+		e := remembered{generation: doc.Version(), doc: doc, raw: r.Raw}
 		if inValue := m.value[doc.Ref()]; inValue != nil && sameContent(inValue, doc) {
 			e.inValue = true
 		} else if text, err := json.Marshal(doc, json.Deterministic(true)); err == nil {
@@ -188,6 +192,9 @@
 func (m *memory) conflicts(name string, revision uint64, residues []Residue) []Finding {
 	var out []Finding
 	for _, r := range residues {
+		if r.Raw {
+			continue // a peer may have refused it, and then reports the conflict itself
+		}
 		for _, doc := range r.Kept.All() {
 			held := m.entries[doc.Ref()]
 			if held.doc != nil && held.generation == doc.Version() && !sameContent(held.doc, doc) {
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -29,7 +29,7 @@
 func (d *Daemon) apply(u configsync.Update) ([]byte, error) {
 	memories := make([]inforce.Memory, len(u.Memories))
 	for i, m := range u.Memories {
-		memories[i] = inforce.Memory{Source: m.Source, Content: m.Content}
+		memories[i] = inforce.Memory{Source: m.Source, Content: m.Content, Raw: m.Raw}
 	}
 	result, err := d.book.Apply(u.Name, u.Revision, u.Content, memories...)
 	d.auditRefused(u.Name, result.Refused)
--- a/internal/inforce/memory.go
+++ b/internal/inforce/memory.go
@@ -13,6 +13,8 @@
 	// Source is the ID of the peer.
 	Source  string
 	Content []byte
+	// Raw is true for the content of a value, which may hold documents that the peer refused.
+	Raw bool
 }
 
 // RefusedMemory is a memory, or a document of one, that cannot be used.
@@ -38,6 +40,7 @@
 		for _, b := range bad {
 			refused = append(refused, RefusedMemory{m.Source, b.Ref, b.Problem})
 		}
+		residue.Raw = m.Raw
 		list = append(list, sourced{residue, m.Source})
 	}
 	return list, refused
--- a/internal/inforce/memory_test.go
+++ b/internal/inforce/memory_test.go
@@ -17,7 +17,7 @@
 	}
 	outdated := value(contractJSON("grocer", 3, 30))
 	residue := mustApply(t, running, name, 11, outdated).Residue
-	result, err := replaced.Apply(name, 11, outdated, Memory{"vm1", residue}, Memory{"vm2", []byte("{")}, Memory{"vm3", value(contractJSON("grocer", 9, -1))})
+	result, err := replaced.Apply(name, 11, outdated, Memory{Source: "vm1", Content: residue}, Memory{Source: "vm2", Content: []byte("{")}, Memory{Source: "vm3", Content: value(contractJSON("grocer", 9, -1))})
 	if err != nil || len(result.Refused) != 2 || result.Refused[0].Source != "vm2" || result.Refused[1].Source != "vm3" {
 		t.Errorf("refused %+v, %v", result.Refused, err)
 	}
@@ -47,7 +47,7 @@
 
 func mustApplyMemory(t *testing.T, b *Book, name string, revision uint64, content, residue []byte) Result {
 	t.Helper()
-	result, err := b.Apply(name, revision, content, Memory{"vm1", residue})
+	result, err := b.Apply(name, revision, content, Memory{Source: "vm1", Content: residue})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -63,7 +63,7 @@
 	if err == nil {
 		t.Fatal("an unreadable value was applied")
 	}
-	result, err = replaced.Apply(name, 11, []byte("{"), Memory{"vm1", result.Residue})
+	result, err = replaced.Apply(name, 11, []byte("{"), Memory{Source: "vm1", Content: result.Residue})
 	if err == nil || len(result.Changes) != 1 || result.Changes[0].Source != "vm1" {
 		t.Errorf("%+v, %v", result, err)
 	}
