--- a/cmd/measure-detection/main.go
+++ b/cmd/measure-detection/main.go
@@ -8,10 +8,12 @@
 	"os"
 	"os/signal"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
 
+	"github.com/cowsliprun/cowsliprun/internal/capacity"
 	"github.com/cowsliprun/cowsliprun/internal/standin/backend"
 	"github.com/cowsliprun/cowsliprun/internal/standin/fleet"
 )
@@ -78,9 +80,28 @@
 		return err
 	}
 	t.print()
+	if err := printErrors(ctx, f); err != nil {
+		return err
+	}
 	return f.Stop()
 }
 
+// printErrors prints the error kinds that callers got, by daemon.
+func printErrors(ctx context.Context, f *fleet.Fleet) error {
+	for _, vm := range f.Documents().VMs {
+		metrics, err := capacity.ReadMetrics(ctx, f.AdminURL(vm.VM)+"/metrics")
+		if err != nil {
+			return err
+		}
+		for name, value := range metrics {
+			if strings.HasPrefix(name, "cowslip_request_errors_total") {
+				fmt.Printf("%s %s %.0f\n", vm.VM, name, value)
+			}
+		}
+	}
+	return nil
+}
+
 // baseLatencyMs makes a healthy backend server take 10 ms with the 2 ms that the stand-in always takes.
 const baseLatencyMs = 8
 
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -123,12 +123,12 @@
 }
 
 // sample holds the metrics of one daemon by name.
-type sample map[string]float64
+type sample = map[string]float64
 
 func sampleAll(ctx context.Context, f *fleet.Fleet, daemons int) ([]sample, error) {
 	var all []sample
 	for i := range daemons {
-		s, err := readMetrics(ctx, f.AdminURL(fmt.Sprintf("vm%d", i))+"/metrics")
+		s, err := ReadMetrics(ctx, f.AdminURL(fmt.Sprintf("vm%d", i))+"/metrics")
 		if err != nil {
 			return nil, err
 		}
@@ -137,7 +137,8 @@
 	return all, nil
 }
 
-func readMetrics(ctx context.Context, url string) (sample, error) {
+// ReadMetrics reads the metrics of a daemon by name, labels included.
+func ReadMetrics(ctx context.Context, url string) (map[string]float64, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
