--- a/cmd/measure-detection/load.go
+++ b/cmd/measure-detection/load.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -11,7 +10,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cowsliprun/cowsliprun/internal/admin"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/standin/fleet"
 )
@@ -159,28 +157,3 @@
 		l.note(&l.through, time.Since(start))
 	}
 }
-
-// modes asks each daemon for the modes of its backend servers.
-func modes(ctx context.Context, f *fleet.Fleet) map[string]string {
-	modes := map[string]string{}
-	for _, vm := range f.Documents().VMs {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.AdminURL(vm.VM)+"/v1/status", nil)
-		if err != nil {
-			continue
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			continue
-		}
-		var st admin.Status
-		err = json.NewDecoder(resp.Body).Decode(&st)
-		resp.Body.Close()
-		if err != nil {
-			continue
-		}
-		for _, b := range st.BackendServers {
-			modes[b.BackendServer] = b.Ejection.State.Mode.String()
-		}
-	}
-	return modes
-}
--- a/cmd/measure-detection/main.go
+++ b/cmd/measure-detection/main.go
@@ -147,7 +147,7 @@
 func (t *trials) await(ctx context.Context, victim string) error {
 	start := time.Now()
 	for {
-		for name, mode := range modes(ctx, t.fleet) {
+		for name, mode := range t.fleet.Modes(ctx) {
 			if mode != "ejected" && mode != "probing" {
 				continue
 			}
@@ -170,7 +170,7 @@
 // allActive waits until all backend servers are in normal service again.
 func (t *trials) allActive(ctx context.Context, names []string) error {
 	for {
-		seen := modes(ctx, t.fleet)
+		seen := t.fleet.Modes(ctx)
 		if !slices.ContainsFunc(names, func(name string) bool { return seen[name] != "active" }) {
 			return nil
 		}
--- a/examples/local/main.go
+++ b/examples/local/main.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -18,7 +17,6 @@
 	"syscall"
 	"time"
 
-	"github.com/cowsliprun/cowsliprun/internal/admin"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/ejection"
 	"github.com/cowsliprun/cowsliprun/internal/standin/backend"
@@ -175,7 +173,7 @@
 			return
 		case <-ticker.C:
 		}
-		fmt.Printf("%s  %s\n", time.Now().Format("15:04:05"), report(l, modes(ctx, f)))
+		fmt.Printf("%s  %s\n", time.Now().Format("15:04:05"), report(l, f.Modes(ctx)))
 	}
 }
 
@@ -189,28 +187,3 @@
 	return fmt.Sprintf("last 2 s: %3d in time, %2d late, %d failed | %s is %s, %d of %d backend servers in service",
 		l.answered.Swap(0), l.late.Swap(0), l.failed.Swap(0), grayBackend, modes[grayBackend], len(modes)-out, len(modes))
 }
-
-// modes asks each daemon for the modes of its backend servers.
-func modes(ctx context.Context, f *fleet.Fleet) map[string]string {
-	modes := map[string]string{}
-	for vm := range callers {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.AdminURL(vm)+"/v1/status", nil)
-		if err != nil {
-			continue
-		}
-		resp, err := http.DefaultClient.Do(req)
-		if err != nil {
-			continue
-		}
-		var st admin.Status
-		err = json.NewDecoder(resp.Body).Decode(&st)
-		resp.Body.Close()
-		if err != nil {
-			continue
-		}
-		for _, b := range st.BackendServers {
-			modes[b.BackendServer] = b.Ejection.State.Mode.String()
-		}
-	}
-	return modes
-}
--- /dev/null
+++ b/internal/standin/fleet/modes.go
@@ -0,0 +1,28 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cowsliprun/cowsliprun/internal/admin"
+)
+
+// Modes asks each daemon for the modes of its backend servers, by id. Daemons that do not respond are left out.
+func (f *Fleet) Modes(ctx context.Context) map[string]string {
+	modes := map[string]string{}
+	for _, vm := range f.listed() {
+		body, err := f.request(ctx, http.MethodGet, f.AdminURL(vm.VM)+"/v1/status", nil)
+		if err != nil {
+			continue
+		}
+		var st admin.Status
+		if json.Unmarshal(body, &st) != nil {
+			continue
+		}
+		for _, b := range st.BackendServers {
+			modes[b.BackendServer] = b.Ejection.State.Mode.String()
+		}
+	}
+	return modes
+}
