--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -36,14 +36,18 @@
 	d.auditChanges(u.Name, u.Revision, result.Changes)
 	d.auditFindings(u.Name, u.Revision, result.Findings)
 	if err == nil || len(result.Changes) > 0 {
-		select {
-		case d.published <- struct{}{}:
-		default:
-		}
+		d.wakePublish()
 	}
 	return result.Residue, err
 }
 
+func (d *Daemon) wakePublish() {
+	select {
+	case d.published <- struct{}{}:
+	default:
+	}
+}
+
 // publish puts applied values in force, at most once per publishDelay.
 func (d *Daemon) publish(ctx context.Context) {
 	for {
@@ -52,13 +56,21 @@
 			return
 		case <-d.published:
 		}
+		// Read before publishing: when the start procedure is over, all values of the start are applied, so they are published now.
+		startOver := d.startOver.Load()
 		snapshot := d.book.Publish()
+		if snapshot == nil {
+			continue // only the index is held, which has no documents
+		}
 		for _, err := range d.home.Apply(snapshot) {
 			d.log.Part("home").Warn("Detector settings are not usable.", "err", err)
 		}
 		d.guard.update(snapshot)
 		d.sync.SetDirectory(directoryOf(snapshot))
 		d.updatePlan(snapshot)
+		if startOver {
+			d.ready.Store(true)
+		}
 		select {
 		case <-ctx.Done():
 			return
@@ -155,7 +167,8 @@
 	case configsync.EventAccepted, configsync.EventInForce:
 		return // the documents are audited when they are merged
 	case configsync.EventReady:
-		d.ready.Store(true)
+		d.startOver.Store(true)
+		d.wakePublish()
 		d.updateView()
 		info("The start procedure is over.", "reason", e.Reason)
 	case configsync.EventPlatformDown, configsync.EventPlatformBehind, configsync.EventRefused, configsync.EventConflict:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,7 +55,8 @@
 	published chan struct{}
 	// askShares wakes the goroutine that asks for shares of limits.
 	askShares chan struct{}
-	ready     atomic.Bool
+	// startOver is set when the start procedure is over, ready when what it gathered is in force.
+	startOver, ready atomic.Bool
 
 	guard     *peerGuard
 	drainOnce sync.Once
