Send the proof of a request body in the body, not in trailers

An entry sends a body to a home that refuses before it has read it (draining, no slot, ejected). The trailers of the request then reach a closed stream, and the HTTP/2 server of net/http ends the whole connection with PROTOCOL_ERROR (processHeaders, "stream_went_down"). All requests in flight between the two daemons break; those that must not be repeated become "unknown".

Ruled out: the order of the drain (the daemon that leaves answered, its path to another home broke), ping time-outs (one request broke, no stall), GOAWAY (the other home was not leaving).

Conclusion: the digest of a request is its last 8 bytes, within the declared length. The receiver holds them and the last byte of the content back. Responses keep their trailers, because a client ignores frames of a closed stream.

The report of a failed scenario now shows the error text, which was missing here.

--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -216,10 +216,7 @@
 		return nil, errkind.New(errkind.NoBackend, "service "+route.Service+" is not in the configuration")
 	}
 	incoming := *r
-	incoming.Body = forward.NewIncoming(r.Body, func() http.Header { return r.Trailer })
-	if r.ContentLength == 0 {
-		incoming.Body = http.NoBody
-	}
+	forward.ReceiveRequest(&incoming)
 	body, err := newUpload(&incoming, customer)
 	if err != nil {
 		return nil, err
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"io"
@@ -47,49 +48,107 @@
 	return nil
 }
 
-// Outgoing is a request body that sets the trailers of its request when it ends.
+// proofBytes is the length of the digest that follows a request body.
+const proofBytes = 8
+
+// Outgoing is a request body that is followed by its digest. Requests have no trailers: when a receiver responds before it has
+// read the body, trailers reach a closed stream, and net/http then ends the whole connection with PROTOCOL_ERROR
+// (http2serverConn.processHeaders). That broke requests of other callers whenever a home refused one with a body.
 type Outgoing struct {
-	body    io.ReadCloser
-	sum     sum
-	trailer http.Header
+	body io.ReadCloser
+	sum  sum
+	// proof is what is left of the digest to send. It is nil until the body has ended.
+	proof []byte
 }
 
-// AttachOutgoing makes req carry body followed by the trailers. It clears GetBody, so that no transport repeats the request.
+// AttachOutgoing makes req carry body followed by its digest. The length of req, when it is known, must be that of body. It clears
+// GetBody, so that no transport repeats the request.
 func AttachOutgoing(req *http.Request, body io.ReadCloser) {
-	req.Trailer = http.Header{TrailerLength: nil, TrailerDigest: nil}
+	if req.ContentLength > 0 {
+		req.ContentLength += proofBytes
+	}
 	req.GetBody = nil
-	req.Body = &Outgoing{body: body, sum: newSum(), trailer: req.Trailer}
+	req.Body = &Outgoing{body: body, sum: newSum()}
 }
 
-// Read reads from the body and sets the trailers at its clean end only.
+// Read reads from the body and, after its clean end only, from the digest.
 func (o *Outgoing) Read(p []byte) (int, error) {
-	n, err := o.body.Read(p)
-	o.sum.add(p[:n])
-	if err == io.EOF {
-		o.sum.set(o.trailer)
+	if o.proof == nil {
+		n, err := o.body.Read(p)
+		o.sum.add(p[:n])
+		if err != io.EOF {
+			return n, err
+		}
+		o.proof = binary.BigEndian.AppendUint64(nil, o.sum.hash.Sum64())
+		if n > 0 {
+			return n, nil
+		}
 	}
-	return n, err
+	n := copy(p, o.proof)
+	o.proof = o.proof[n:]
+	if len(o.proof) == 0 {
+		return n, io.EOF
+	}
+	return n, nil
 }
 
 // Close closes the body.
 func (o *Outgoing) Close() error { return o.body.Close() }
 
-// Incoming checks a received body against its trailers. It holds the last byte back until the check has passed, because a
-// receiver that knows the length from Content-Length would otherwise take a body with a wrong digest for a whole one.
+// ReceiveRequest makes the body of a request from another daemon end with io.EOF only when its digest matches, and sets the
+// length of r to that of the content. A request without a body is left as it is.
+func ReceiveRequest(r *http.Request) {
+	if r.ContentLength == 0 {
+		return
+	}
+	// A declared length that leaves no content is wrong, because empty bodies have no digest. Reading it ends with ErrBroken.
+	r.ContentLength = max(r.ContentLength-proofBytes, -1)
+	if r.ContentLength == 0 {
+		r.ContentLength = -1
+	}
+	r.Body = &Incoming{body: r.Body, sum: newSum(), keep: 1 + proofBytes, finish: checkProof}
+}
+
+// checkProof separates the digest from the held bytes and compares it.
+func checkProof(s *sum, held []byte) ([]byte, error) {
+	if len(held) <= proofBytes {
+		return nil, fmt.Errorf("%w: it has no digest", ErrBroken)
+	}
+	content := held[:len(held)-proofBytes]
+	s.add(content)
+	if got, want := s.hash.Sum64(), binary.BigEndian.Uint64(held[len(content):]); got != want {
+		return nil, fmt.Errorf("%w: digest %x, its sender states %x", ErrBroken, got, want)
+	}
+	return content, nil
+}
+
+// Incoming checks a received body against the proof of its sender: trailers of a response, the digest at the end of a request.
+// It holds the last byte of the content back until the check has passed, because a receiver that knows the length from
+// Content-Length would otherwise take a body with a wrong digest for a whole one.
 type Incoming struct {
-	body    io.ReadCloser
-	sum     sum
-	trailer func() http.Header
-	held    byte
-	holding bool
+	body io.ReadCloser
+	// sum covers the bytes that have passed.
+	sum sum
+	// finish gets the bytes held at the end of the body and returns the content among them.
+	finish func(s *sum, held []byte) ([]byte, error)
+	// keep is the number of bytes that are held back, at most maxHeld.
+	keep int
+	held [maxHeld]byte
+	// rest are the held bytes, within held.
+	rest []byte
 	// end is io.EOF after a passed check, or the error that ended the body.
 	end error
 }
 
-// NewIncoming returns a reader that ends with io.EOF only when the trailers match. The trailer function is called after the
-// body has ended, because net/http fills the trailers then.
+const maxHeld = 1 + proofBytes
+
+// NewIncoming returns a reader of a response body that ends with io.EOF only when the trailers match. The trailer function is
+// called after the body has ended, because net/http fills the trailers then.
 func NewIncoming(body io.ReadCloser, trailer func() http.Header) *Incoming {
-	return &Incoming{body: body, sum: newSum(), trailer: trailer}
+	return &Incoming{body: body, sum: newSum(), keep: 1, finish: func(s *sum, held []byte) ([]byte, error) {
+		s.add(held)
+		return held, s.check(trailer())
+	}}
 }
 
 // Read reads from the body. It returns ErrBroken in place of io.EOF when the proof is missing or different.
@@ -99,10 +158,11 @@
 	}
 	for i.end == nil {
 		n, err := i.body.Read(p)
-		i.sum.add(p[:n])
 		out := i.hold(p[:n])
+		i.sum.add(p[:out])
 		if err == io.EOF {
-			if bad := i.sum.check(i.trailer()); bad != nil {
+			var bad error
+			if i.rest, bad = i.finish(&i.sum, i.rest); bad != nil {
 				err = bad
 			}
 		}
@@ -111,28 +171,32 @@
 			return out, nil
 		}
 	}
-	if i.end == io.EOF && i.holding {
-		p[0] = i.held
-		i.holding = false
-		return 1, nil
+	if i.end == io.EOF && len(i.rest) > 0 {
+		n := copy(p, i.rest)
+		i.rest = i.rest[n:]
+		return n, nil
 	}
 	return 0, i.end
 }
 
-// hold keeps the last byte of p and puts the byte held before in front of the rest. It returns how many bytes may pass.
+// hold puts the bytes held before in front of p, keeps the last ones back and returns how many bytes of p may pass.
 func (i *Incoming) hold(p []byte) int {
-	if len(p) == 0 {
-		return 0
-	}
-	last := p[len(p)-1]
-	pass := len(p) - 1
-	if i.holding {
-		copy(p[1:], p[:len(p)-1])
-		p[0] = i.held
-		pass = len(p)
+	before := len(i.rest)
+	out := max(before+len(p)-i.keep, 0)
+	if len(p) < i.keep {
+		var all [2 * maxHeld]byte
+		n := copy(all[:], i.rest)
+		n += copy(all[n:], p)
+		copy(p, all[:out])
+		i.rest = i.held[:copy(i.held[:], all[out:n])]
+		return out
 	}
-	i.held, i.holding = last, true
-	return pass
+	var last [maxHeld]byte
+	kept := copy(last[:], p[len(p)-i.keep:])
+	copy(p[before:], p[:len(p)-i.keep])
+	copy(p, i.rest)
+	i.rest = i.held[:copy(i.held[:], last[:kept])]
+	return out
 }
 
 // Close closes the body.
--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -74,15 +74,89 @@
 	})
 }
 
-// The trailers must stay unset when the source fails, so that the receiver sees a broken body.
-func TestOutgoingSetsNoTrailerOnError(t *testing.T) {
+// sentBytes returns the bytes that a request with this body sends.
+func sentBytes(body []byte) []byte {
+	req, _ := http.NewRequest(http.MethodPost, "http://127.0.0.1/", nil)
+	AttachOutgoing(req, io.NopCloser(bytes.NewReader(body)))
+	sent, _ := io.ReadAll(iotest.OneByteReader(req.Body))
+	return sent
+}
+
+// received returns a request as the other daemon gets it.
+func received(sent []byte, length int64, oneByte bool) *http.Request {
+	var src io.Reader = bytes.NewReader(sent)
+	if oneByte {
+		src = iotest.OneByteReader(src)
+	}
+	r := &http.Request{ContentLength: length, Body: io.NopCloser(src)}
+	ReceiveRequest(r)
+	return r
+}
+
+// A request body must arrive unchanged and with its own length, whatever the sizes of the reads.
+func TestReceiveRequestPassesWholeBody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "body")
+		sent := sentBytes(body)
+		length := int64(len(sent))
+		known := rapid.Bool().Draw(t, "known length")
+		if !known {
+			length = -1
+		}
+		r := received(sent, length, rapid.Bool().Draw(t, "small reads of the source"))
+		if known && r.ContentLength != int64(len(body)) || !known && r.ContentLength != -1 {
+			t.Fatalf("length %d, want %d", r.ContentLength, len(body))
+		}
+		var got []byte
+		buf := make([]byte, rapid.IntRange(1, 40).Draw(t, "read size"))
+		for {
+			n, err := r.Body.Read(buf)
+			got = append(got, buf[:n]...)
+			if err == io.EOF {
+				break
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+		}
+		if !bytes.Equal(got, body) {
+			t.Fatalf("got %q, want %q", got, body)
+		}
+	})
+}
+
+// A cut or changed request body must end in ErrBroken before its last byte has passed, or a backend server that counts bytes
+// would run the request.
+func TestReceiveRequestWithholdsEndOfBrokenBody(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		body := rapid.SliceOfN(rapid.Byte(), 1, 300).Draw(t, "body")
+		sent := sentBytes(body)
+		if rapid.Bool().Draw(t, "cut") {
+			sent = sent[:rapid.IntRange(0, len(sent)-1).Draw(t, "length")]
+		} else {
+			sent[rapid.IntRange(0, len(sent)-1).Draw(t, "changed")] ^= 0x40
+		}
+		r := received(sent, int64(len(sent)), rapid.Bool().Draw(t, "small reads of the source"))
+		if len(sent) == 0 {
+			t.Skip("a request without a body has no digest")
+		}
+		got, err := io.ReadAll(r.Body)
+		if !errors.Is(err, ErrBroken) {
+			t.Fatalf("error %v, want ErrBroken", err)
+		}
+		if len(got) >= len(body) {
+			t.Fatalf("all %d bytes of a broken body passed", len(got))
+		}
+	})
+}
+
+// The digest must not be sent when the source fails, so that the receiver sees a broken body.
+func TestOutgoingSendsNoDigestOnError(t *testing.T) {
 	req, _ := http.NewRequest("POST", "http://127.0.0.1/", nil)
 	AttachOutgoing(req, io.NopCloser(io.MultiReader(bytes.NewReader([]byte("abc")), iotest.ErrReader(io.ErrUnexpectedEOF))))
-	if _, err := io.ReadAll(req.Body); !errors.Is(err, io.ErrUnexpectedEOF) {
-		t.Fatalf("error %v", err)
-	}
-	if req.Trailer.Get(TrailerLength) != "" {
-		t.Errorf("trailers %v were set for a cut body", req.Trailer)
+	got, err := io.ReadAll(req.Body)
+	if !errors.Is(err, io.ErrUnexpectedEOF) || string(got) != "abc" {
+		t.Fatalf("got %q and error %v", got, err)
 	}
 }
 
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -85,9 +85,9 @@
 }
 
 // send forwards r and waits for the response header. The error's kind tells whether the request was handed over.
-func (x *exchange) send(ctx context.Context, r *http.Request, body io.ReadCloser) error {
+func (x *exchange) send(ctx context.Context, r *http.Request) error {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.handedOver.Store(true) }}
-	out := x.request(httptrace.WithClientTrace(ctx, trace), r, body)
+	out := x.request(httptrace.WithClientTrace(ctx, trace), r)
 	x.started.Store(sinceStart())
 	if r.ContentLength == 0 {
 		x.uploaded.Store(x.started.Load())
@@ -105,7 +105,7 @@
 	return x.bufferSmall(ctx)
 }
 
-func (x *exchange) request(ctx context.Context, r *http.Request, body io.ReadCloser) *http.Request {
+func (x *exchange) request(ctx context.Context, r *http.Request) *http.Request {
 	target := &url.URL{Scheme: "http", Host: x.address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
 	out := (&http.Request{
 		Method: r.Method, URL: target, Host: r.Host, Header: http.Header{}, ContentLength: r.ContentLength,
@@ -121,7 +121,7 @@
 	}
 	// A body without GetBody keeps net/http from repeating the request by itself after a broken connection. A repeat is the
 	// entry's decision, under the contract's budget.
-	out.Body = &requestBody{ReadCloser: body, exchange: x}
+	out.Body = &requestBody{ReadCloser: r.Body, exchange: x}
 	if r.ContentLength == 0 {
 		out.ContentLength = 0
 		out.Body = &requestBody{ReadCloser: io.NopCloser(bytes.NewReader(nil)), exchange: x}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"sync"
@@ -177,13 +176,10 @@
 }
 
 func (h *Home) exchange(ctx context.Context, w http.ResponseWriter, r *http.Request, m *member) {
-	var body io.ReadCloser = r.Body
-	if r.ContentLength != 0 {
-		body = forward.NewIncoming(r.Body, func() http.Header { return r.Trailer })
-	}
+	forward.ReceiveRequest(r)
 	x := &exchange{transport: h.transport, address: m.address}
 	m.begin(x)
-	err := x.send(ctx, r, body)
+	err := x.send(ctx, r)
 	if err != nil {
 		m.observe(time.Now(), x, err)
 		h.refuse(w, m, err)
--- a/test/scenario/load_test.go
+++ b/test/scenario/load_test.go
@@ -296,5 +296,9 @@
 
 // String is a short form for the report of a failed check.
 func (a attempt) String() string {
-	return strings.TrimSpace(fmt.Sprintf("%s: %s %d %s %s %s", a.vm, a.outcome, a.status, a.kind, a.fault, a.err))
+	text := ""
+	if a.kind != "" {
+		text = strings.TrimSpace(string(a.body))
+	}
+	return strings.TrimSpace(fmt.Sprintf("%s: %s %d %s %s %s", a.vm, a.outcome, a.status, text, a.fault, a.err))
 }
