--- a/internal/forward/refusal_test.go
+++ b/internal/forward/refusal_test.go
@@ -38,6 +38,7 @@
 		dials.Add(1)
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	})
+	transport.HTTP2 = nil // without the ping time-out, which a stalled machine could reach
 	defer transport.CloseIdleConnections()
 	body := bytes.Repeat([]byte("x"), 900)
 	send := func(path string) ([]byte, error) {
