Run the commands of the pages with the real cowslipctl in scenarios

The scenarios used the admin API directly, so nothing showed that the commands on README.md and docs/operations.md do what the pages say.

operator_path and operator_platform start the documents of the local example as separate processes and run the command lines of the pages as written there: explain, status, audit, check, diff, render, the reload of the platform's stand-in, wait, drain, start, override, key, the platform away and restored. They check exit statuses and output while lookups and orders run, and require that none fails. The fixed addresses of the example are replaced by free ones, because scenarios run beside each other; curl is done by the test, because the tests need only Go. A sleep of a page is an await in the scenario, since fixed sleeps would make the verdict depend on the machine.

--- a/test/scenario/scenario_test.go
+++ b/test/scenario/scenario_test.go
@@ -51,6 +51,9 @@
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fleet":    plain(cmdFleet),
+			"example":  plain(cmdExample),
+			"run":      plain(cmdRun),
+			"until":    plain(cmdUntil),
 			"publish":  plain(cmdPublish),
 			"fault":    plain(cmdFault),
 			"sigkill":  plain(cmdKill),
--- a/test/scenario/world_test.go
+++ b/test/scenario/world_test.go
@@ -35,6 +35,7 @@
 	floor     *floorWatch
 	callers   map[string]string
 	admins    map[string]string
+	addresses *pageAddresses
 
 	mu     sync.Mutex
 	pids   map[string]int  // of the daemons that run now, by VM
@@ -45,7 +46,7 @@
 	return &world{
 		dir: dir, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}, relays: map[string]*relay{}, paths: newPaths(),
 		loads: map[string]*load{}, transfers: map[string]*transfer{}, callers: map[string]string{}, admins: map[string]string{}, pids: map[string]int{},
-		paused: map[string]bool{},
+		paused: map[string]bool{}, addresses: newPageAddresses(),
 	}
 }
 
@@ -116,12 +117,17 @@
 	docs := fleet.Layout{
 		DataCentres: l.DataCentres, VMs: l.VMs, Services: l.Services, BackendsPerService: l.Backends, Slots: l.Slots, Contracts: l.Contracts,
 	}.Documents(freeAddress)
+	w.launch(ts, docs, freeAddress(), l.Relays)
+}
+
+// launch starts a fleet with these documents and waits until every backend server is in full service.
+func (w *world) launch(ts *testscript.TestScript, docs contract.Documents, platform string, relays bool) {
 	listen := map[string]string{}
 	for _, vm := range docs.VMs {
 		listen[vm.VM] = vm.PeerAddress
 		w.callers[vm.VM] = freeAddress()
 		w.admins[vm.VM] = "http://" + vm.AdminAddress
-		if !l.Relays {
+		if !relays {
 			continue
 		}
 		listen[vm.VM] = freeAddress()
@@ -130,7 +136,7 @@
 		w.relays[vm.VM] = r
 	}
 	w.fleet = fleet.New(fleet.Options{
-		Bin: programs, Dir: w.dir, Platform: freeAddress(), Documents: docs,
+		Bin: programs, Dir: w.dir, Platform: platform, Documents: docs,
 		Callers:    func(vm string) string { return w.callers[vm] },
 		PeerListen: func(vm contract.VM) string { return listen[vm.VM] },
 	})
