Warn when a drain leaves a service below its floor

cowslipctl drain said nothing when other backend servers of a service were already ejected, probing or draining, so that the service was left with fewer in service than its floor. The floor bounds ejection, not planned stops, and the operator had to compare by hand.

The command now reads the services of the VM, asks the daemons of the other VMs, and names service, floor, what would remain and what is out, on standard error before the question and as belowFloor in JSON. The drain goes on and the exit status is the same.

Ruled out: a refusal by the daemon, which would make a drain in an emergency depend on other VMs; and counting backend servers of daemons that do not respond as out or as in service. They are named as not known, in one line for all services, because in many fleets admin listeners are on loopback and can never be asked from elsewhere.

Tests: scripts with two daemons, a table over all modes of internal/ejection, daemons that do not respond, and the line in the scenario operator_path with three real daemons. The scenario keeps the gray backend server out by an override, since by itself it returns on trial every few seconds.

--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -24,6 +24,8 @@
 	summary: "Stop one daemon gracefully: it takes no new work, finishes what is in flight, and exits.",
 	details: "The command shows what will happen and asks, unless --yes is given. A drain cannot be taken back: the daemon must be\n" +
 		"started again. Its backend servers get no requests until then. Drain one VM at a time.\n" +
+		"A warning names each service that would be left with fewer backend servers in service than its floor. The floor bounds\n" +
+		"ejection, not planned stops, so the drain goes on.\n" +
 		"--wait ends when the daemon has stopped; exit status 4 means that it was still there at --limit.",
 	examples: []string{
 		"cowslipctl drain                                       # the daemon on this VM, after a question",
@@ -51,6 +53,10 @@
 	VM string `json:"vm"`
 	// Stopped is false when the command did not wait, or the daemon was still there at the limit.
 	Stopped bool `json:"stopped"`
+	// BelowFloor are the services that the drain leaves below their floor, or of which that is not known.
+	BelowFloor []floorWarning `json:"belowFloor"`
+	// FloorsNotChecked is the reason why the floors could not be compared, empty when they were.
+	FloorsNotChecked string `json:"floorsNotChecked,omitempty"`
 }
 
 func runDrain(out *output, args []string, d drainFlags) int {
@@ -63,14 +69,22 @@
 	if err != nil {
 		return out.fail(statusOf(err), "%v", err)
 	}
+	result := drainResult{VM: st.VM, BelowFloor: []floorWarning{}}
 	writeDrainPlan(out.Err, d.address, st)
+	if warnings, err := floorsAfterDrain(ctx, c, st, d.timeout); err != nil {
+		result.FloorsNotChecked = err.Error()
+		fmt.Fprintf(out.Err, "  WARNING: the floors of its services could not be checked: %v\n", err)
+	} else {
+		result.BelowFloor = append(result.BelowFloor, warnings...)
+		writeFloorWarnings(out.Err, warnings)
+	}
 	if !d.yes && !confirmed(out) {
 		return out.fail(StatusUsage, "not confirmed, nothing done; --yes drains without a question")
 	}
 	if err := c.sendJSON(ctx, http.MethodPost, "/v1/drain", admin.DrainRequest{Operator: d.operator}, nil); err != nil {
 		return out.fail(statusOf(err), "%v", err)
 	}
-	result, status := drainResult{VM: st.VM}, StatusOK
+	status := StatusOK
 	if d.wait {
 		if result.Stopped = waitStopped(ctx, c, d.limit, st.Incarnation); !result.Stopped {
 			status = out.fail(StatusTimeout, "the daemon of %s has not stopped within %s", st.VM, d.limit)
--- a/internal/ctl/status_subject.go
+++ b/internal/ctl/status_subject.go
@@ -61,17 +61,8 @@
 	daemons, failures, status := split(out, ask(ctx, homes.targets, t.timeout, getStatus))
 	homes.warn(out)
 	result := serviceResult{Service: name, Generation: svc.Generation, Total: len(svc.BackendServers), NotReached: failures}
-	percent := svc.FloorPercent
-	if percent == 0 {
-		percent = catalog.DefaultFloorPercent
-	}
-	result.Floor = catalog.FloorCount(result.Total, percent)
-	known := map[string]backendResult{}
-	for _, st := range daemons {
-		for _, b := range st.BackendServers {
-			known[b.BackendServer] = backendResult{st.VM, b}
-		}
-	}
+	result.Floor = floorOf(svc)
+	known := backendsOf(daemons)
 	for _, b := range svc.BackendServers {
 		found, ok := known[b.ID]
 		if !ok {
@@ -96,6 +87,26 @@
 	}
 }
 
+// floorOf returns the number of backend servers that ejection leaves in service.
+func floorOf(svc contract.Service) int {
+	percent := svc.FloorPercent
+	if percent == 0 {
+		percent = catalog.DefaultFloorPercent
+	}
+	return catalog.FloorCount(len(svc.BackendServers), percent)
+}
+
+// backendsOf returns the backend servers of the daemons by id.
+func backendsOf(daemons []admin.Status) map[string]backendResult {
+	known := map[string]backendResult{}
+	for _, st := range daemons {
+		for _, b := range st.BackendServers {
+			known[b.BackendServer] = backendResult{st.VM, b}
+		}
+	}
+	return known
+}
+
 // serviceInForce returns the service and the VMs as the first daemon that responds has them in force.
 func serviceInForce(ctx context.Context, list []target, t *targets, name string) (contract.Service, []admin.VM, error) {
 	docs, from, err := documentsInForce(ctx, list, t, contract.ValueOf(contract.Ref{Kind: contract.KindService, Name: name}))
