Name what reads badly in the tool and the admin API

A newcomer who reads internal/ctl met statusOf (an exit status) beside statusOfBackend (a command), targets (flags) beside target and choice, and a result of findBackend that no caller used. The modes that are out were spelled as texts in three places, and methods of admin.Daemon had no comments.

Renamed: exitStatusOf, exitStatusIfOut, targetFlags, targetList, splitReplies. The modes are constants of internal/admin. The line about VMs that are not asked now says how many more there are, and the help of override names its argument as the page does.

One fault found while reading: the new check of floors compared admin addresses only among the VMs of the services, so it could take a loopback address that others share for one VM's own. It compares all VMs now.

Not changed: counts such as "1 backend servers", which pages show, and the comparison of HeldInServiceUntil with the clock of the tool's host.

Tests of internal/ctl and internal/admin pass with the race detector.

--- a/internal/admin/backend.go
+++ b/internal/admin/backend.go
@@ -23,11 +23,18 @@
 // Mode is the name of a mode, such as "active" or "ejected".
 type Mode string
 
+// The modes in which callers' work is kept from a backend server.
+const (
+	ModeEjected  Mode = "ejected"
+	ModeProbing  Mode = "probing"
+	ModeDraining Mode = "draining"
+)
+
 // String returns the name.
 func (m Mode) String() string { return string(m) }
 
 // IsOut reports whether callers' work is kept from a backend server in this mode.
-func (m Mode) IsOut() bool { return m == "ejected" || m == "probing" || m == "draining" }
+func (m Mode) IsOut() bool { return m == ModeEjected || m == ModeProbing || m == ModeDraining }
 
 // Ejection tells why a backend server is in its mode.
 type Ejection struct {
--- a/internal/admin/handler.go
+++ b/internal/admin/handler.go
@@ -23,23 +23,30 @@
 
 // Daemon is what the handler needs of the daemon.
 type Daemon interface {
+	// Status returns what GET /v1/status shows. Pages of the audit trail take VM and incarnation from it.
 	Status() Status
 	// Ready returns an empty text when the daemon serves, else the reason why not.
 	Ready() string
+	// Revision returns the revision in force of one value, 0 for none; Revisions returns those of all values.
 	Revision(value string) Revision
 	Revisions() Revisions
 	// VMs returns the VMs of the configuration in force, by name.
 	VMs() []VM
 	// Placement reports false when the configuration in force has no such backend server.
 	Placement(backend string) (Placement, bool)
+	// Explain returns what would happen to a request now. It sends none and takes nothing from the limits.
 	Explain(customer, method, path string) Decision
 	// Documents returns the documents in force of one value.
 	Documents(value string) (contract.Documents, error)
+	// Values returns the names of the values in force.
 	Values() []string
+	// Trail returns the audit trail.
 	Trail() *audit.Trail
 	// Override reports false when this VM has no such backend server, and an error for an unknown override.
 	Override(backend, override, operator string) (bool, error)
+	// Drain begins a graceful stop and returns at once. A second call changes nothing.
 	Drain(operator string)
+	// WriteMetrics writes all metrics in the text format of Prometheus.
 	WriteMetrics(w io.Writer)
 }
 
--- a/internal/ctl/audit.go
+++ b/internal/ctl/audit.go
@@ -33,7 +33,7 @@
 		"cowslipctl audit --follow --output json                 # for scripts, until interrupted",
 	},
 	setup: func(p *flaggy.Parser) runFunc {
-		t := new(targets)
+		t := new(targetFlags)
 		t.register(p)
 		f := new(auditFilter)
 		p.Bool(&f.follow, "f", "follow", "wait for new entries until interrupted")
@@ -65,7 +65,7 @@
 	NotReached []failure     `json:"notReached"`
 }
 
-func runAudit(out *output, args []string, t *targets, f *auditFilter) int {
+func runAudit(out *output, args []string, t *targetFlags, f *auditFilter) int {
 	if len(args) > 0 || f.count < 0 || f.last < 0 {
 		return out.usage("filters are flags, and --count and --last are not negative")
 	}
@@ -73,13 +73,13 @@
 	defer cancel()
 	c, err := t.resolve(ctx)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
 	c.warn(out)
 	if f.follow {
 		return followAudit(ctx, out, c.targets, t.timeout, f)
 	}
-	pages, failures, status := split(out, ask(ctx, c.targets, t.timeout, func(ctx context.Context, c *client) (admin.AuditPage, error) {
+	pages, failures, status := splitReplies(out, ask(ctx, c.targets, t.timeout, func(ctx context.Context, c *client) (admin.AuditPage, error) {
 		return auditPage(ctx, c, 0, 0)
 	}))
 	result := auditResult{[]audit.Entry{}, failures}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -64,8 +64,8 @@
 	return errors.As(err, &refused) && refused.status == http.StatusNotFound
 }
 
-// statusOf returns the exit status for an error of the client.
-func statusOf(err error) int {
+// exitStatusOf returns the exit status for an error of the client.
+func exitStatusOf(err error) int {
 	var unreachable *unreachableError
 	switch {
 	case err == nil:
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -106,12 +106,12 @@
 	} {
 		var out struct{}
 		err := newClient(c.address, c.timeout).getJSON(context.Background(), c.path, &out)
-		if err == nil || !strings.Contains(err.Error(), c.want) || statusOf(err) != c.status {
-			t.Errorf("%s gives status %d, %v; want %d, %q", c.path, statusOf(err), err, c.status, c.want)
+		if err == nil || !strings.Contains(err.Error(), c.want) || exitStatusOf(err) != c.status {
+			t.Errorf("%s gives status %d, %v; want %d, %q", c.path, exitStatusOf(err), err, c.status, c.want)
 		}
 	}
 	var out map[string]string
-	if err := newClient(address, time.Minute).sendJSON(context.Background(), http.MethodPost, "/good", struct{}{}, &out); err != nil || out["method"] != http.MethodPost || statusOf(err) != StatusOK {
+	if err := newClient(address, time.Minute).sendJSON(context.Background(), http.MethodPost, "/good", struct{}{}, &out); err != nil || out["method"] != http.MethodPost || exitStatusOf(err) != StatusOK {
 		t.Errorf("a good call gives %v, %v", out, err)
 	}
 }
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -55,7 +55,7 @@
 	if address != "" {
 		inForce, err := allInForce(context.Background(), newClient(address, timeout))
 		if err != nil {
-			return out.fail(statusOf(err), "%v", err)
+			return out.fail(exitStatusOf(err), "%v", err)
 		}
 		sides = []contract.Documents{inForce, sides[0]}
 	}
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -67,7 +67,7 @@
 	c := newClient(d.address, d.timeout)
 	st, err := getStatus(ctx, c)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
 	result := drainResult{VM: st.VM, BelowFloor: []floorWarning{}}
 	writeDrainPlan(out.Err, d.address, st)
@@ -82,7 +82,7 @@
 		return out.fail(StatusUsage, "not confirmed, nothing done; --yes drains without a question")
 	}
 	if err := c.sendJSON(ctx, http.MethodPost, "/v1/drain", admin.DrainRequest{Operator: d.operator}, nil); err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
 	status := StatusOK
 	if d.wait {
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -27,7 +27,7 @@
 		"cowslipctl explain backend portal-1 --output json  # for scripts",
 	},
 	setup: func(p *flaggy.Parser) runFunc {
-		t := new(targets)
+		t := new(targetFlags)
 		t.register(p)
 		var q requestQuestion
 		p.String(&q.customer, "c", "customer", "customer of the request")
@@ -61,16 +61,16 @@
 	NotReached []failure        `json:"notReached"`
 }
 
-func explainRequest(out *output, t *targets, q requestQuestion) int {
+func explainRequest(out *output, t *targetFlags, q requestQuestion) int {
 	if q.customer == "" || !strings.HasPrefix(q.path, "/") {
 		return out.usage("name --customer, and --path with a path that begins with /")
 	}
 	ctx := context.Background()
 	c, err := t.resolve(ctx)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
-	decisions, failures, status := split(out, ask(ctx, c.targets, t.timeout, func(ctx context.Context, c *client) (d admin.Decision, err error) {
+	decisions, failures, status := splitReplies(out, ask(ctx, c.targets, t.timeout, func(ctx context.Context, c *client) (d admin.Decision, err error) {
 		return d, c.getJSON(ctx, q.query(), &d)
 	}))
 	c.warn(out)
@@ -127,13 +127,13 @@
 	writeTable(w, table...)
 }
 
-func explainBackend(out *output, t *targets, id string) int {
-	at, _, found, err := findBackend(context.Background(), t, id)
+func explainBackend(out *output, t *targetFlags, id string) int {
+	at, found, err := findBackend(context.Background(), t, id)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
 	out.result(backendResult{at.vm, found}, func(w io.Writer) { writeEjection(w, at, found) })
-	return outStatus(found)
+	return exitStatusIfOut(found)
 }
 
 func writeEjection(w io.Writer, at target, b admin.BackendServer) {
@@ -165,7 +165,7 @@
 
 // probesText shows the probes passed only while probes run. In other modes the count is that of the last time.
 func probesText(e admin.Ejection) string {
-	if e.State.Mode != "probing" {
+	if e.State.Mode != admin.ModeProbing {
 		return fmt.Sprintf("%d in a row are needed after a hold-off", e.ProbesNeeded)
 	}
 	return fmt.Sprintf("%d passed in a row of %d needed", e.ProbesPassed, e.ProbesNeeded)
@@ -173,7 +173,7 @@
 
 func holdOffText(e admin.Ejection) string {
 	next := "the next one lasts " + shortText(e.NextHoldOff)
-	if e.State.Mode == "ejected" && e.State.Remaining > 0 {
+	if e.State.Mode == admin.ModeEjected && e.State.Remaining > 0 {
 		return "ends in " + shortText(e.State.Remaining) + "; " + next
 	}
 	return "none running; " + next
--- a/internal/ctl/floor.go
+++ b/internal/ctl/floor.go
@@ -5,16 +5,12 @@
 	"fmt"
 	"io"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/admin"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 )
 
-// maxNamed bounds the names in one line of a warning.
-const maxNamed = 5
-
 // floorWarning is a service that has fewer backend servers known to be in service than its floor once a VM has drained.
 type floorWarning struct {
 	Service string `json:"service"`
@@ -50,10 +46,11 @@
 	if err := c.getJSON(ctx, "/v1/vms", &vms); err != nil {
 		return nil, err
 	}
-	others := choice{}
-	others.add(slices.DeleteFunc(vms, func(vm admin.VM) bool {
-		return vm.VM == st.VM || !slices.ContainsFunc(services, func(svc contract.Service) bool { return runsOn(svc, vm.VM) })
-	}))
+	others := targetList{}
+	others.add(vms) // all of them, to find the addresses that several VMs have
+	others.targets = slices.DeleteFunc(others.targets, func(t target) bool {
+		return t.vm == st.VM || !slices.ContainsFunc(services, func(svc contract.Service) bool { return runsOn(svc, t.vm) })
+	})
 	var daemons []admin.Status
 	for _, r := range ask(ctx, others.targets, timeout, getStatus) {
 		if r.err == nil {
@@ -79,7 +76,7 @@
 	var services []contract.Service
 	for _, name := range slices.Compact(names) {
 		var docs admin.Documents
-		if err := c.getJSON(ctx, documentsPath(contract.ValueOf(contract.Ref{Kind: contract.KindService, Name: name})), &docs); err != nil {
+		if err := c.getJSON(ctx, documentsPath(serviceValue(name)), &docs); err != nil {
 			return nil, err
 		}
 		i := slices.IndexFunc(docs.Services, func(svc contract.Service) bool { return svc.Service == name })
@@ -138,14 +135,7 @@
 		fmt.Fprintf(out, "  WARNING: service %s would have %d backend servers in service, below its floor of %d%s\n", w.Service, w.Remaining, w.Floor, text)
 	}
 	if len(unsure) > 0 {
-		fmt.Fprintf(out, "  WARNING: it is not known whether %d services would keep their floor, because daemons of other VMs were not reached: %s\n",
+		fmt.Fprintf(out, "  WARNING: daemons of other VMs were not reached, so it is not known whether the floor would be kept of %d of its services: %s\n",
 			len(unsure), namesText(unsure))
 	}
 }
-
-func namesText(names []string) string {
-	if len(names) > maxNamed {
-		return fmt.Sprintf("%s and %d more", strings.Join(names[:maxNamed], ", "), len(names)-maxNamed)
-	}
-	return strings.Join(names, ", ")
-}
--- a/internal/ctl/override.go
+++ b/internal/ctl/override.go
@@ -17,7 +17,7 @@
 
 var overrideCommand = command{
 	name:    "override",
-	args:    "BACKEND pin-in-service|force-out|none [FLAGS]",
+	args:    "ID pin-in-service|force-out|none [FLAGS]",
 	summary: "Set or clear an operator's decision on a backend server.",
 	details: "pin-in-service keeps it in service whatever the evidence. force-out wants it out whatever the evidence; the floor of the\n" +
 		"service still holds, so it goes out only when enough siblings grant reservations. none leaves the decision to the\n" +
@@ -28,7 +28,7 @@
 		"cowslipctl override portal-1 pin-in-service --admin 10.0.0.17:7002",
 	},
 	setup: func(p *flaggy.Parser) runFunc {
-		t := new(targets)
+		t := new(targetFlags)
 		t.register(p)
 		operator := operatorName()
 		p.String(&operator, "", "operator", "who asks, for the audit trail (default: the user)")
@@ -45,19 +45,19 @@
 	Mode admin.Mode `json:"mode"`
 }
 
-func runOverride(out *output, args []string, t *targets, operator string) int {
+func runOverride(out *output, args []string, t *targetFlags, operator string) int {
 	if len(args) != 2 || !slices.Contains(overrideNames, args[1]) {
 		return out.usage("name a backend server and one of pin-in-service, force-out and none")
 	}
 	id, to := args[0], args[1]
 	ctx := context.Background()
-	at, _, found, err := findBackend(ctx, t, id)
+	at, found, err := findBackend(ctx, t, id)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
 	path := "/v1/backends/" + url.PathEscape(id) + "/override"
 	if err := newClient(at.address, t.timeout).sendJSON(ctx, http.MethodPut, path, admin.OverrideRequest{Override: to, Operator: operator}, nil); err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
 	result := overrideResult{at.vm, id, found.Ejection.Override, to, found.Ejection.State.Mode}
 	out.result(result, func(w io.Writer) {
--- a/internal/ctl/run.go
+++ b/internal/ctl/run.go
@@ -15,7 +15,8 @@
 	StatusOK = 0
 	// StatusFindings means that documents have faults, that a comparison found differences, or that a daemon reports a problem.
 	StatusFindings = 1
-	// StatusUsage means wrong arguments, or input or output that cannot be used.
+	// StatusUsage means wrong arguments, input or output that cannot be used, a call that a daemon refused, or a drain that was not
+	// confirmed.
 	StatusUsage = 2
 	// StatusUnreachable means that a daemon did not respond.
 	StatusUnreachable = 3
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -29,13 +29,13 @@
 		"cowslipctl status customer hotel-borg                  # the contract in force",
 	},
 	setup: func(p *flaggy.Parser) runFunc {
-		t := new(targets)
+		t := new(targetFlags)
 		t.register(p)
 		return func(out *output, args []string) int { return runStatus(out, args, t) }
 	},
 }
 
-func runStatus(out *output, args []string, t *targets) int {
+func runStatus(out *output, args []string, t *targetFlags) int {
 	ctx := context.Background()
 	switch {
 	case len(args) == 0, len(args) == 1 && args[0] == "daemon":
@@ -57,12 +57,12 @@
 	NotReached []failure      `json:"notReached"`
 }
 
-func statusOfDaemons(ctx context.Context, out *output, t *targets, detailed bool) int {
+func statusOfDaemons(ctx context.Context, out *output, t *targetFlags, detailed bool) int {
 	c, err := t.resolve(ctx)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
-	daemons, failures, status := split(out, ask(ctx, c.targets, t.timeout, getStatus))
+	daemons, failures, status := splitReplies(out, ask(ctx, c.targets, t.timeout, getStatus))
 	c.warn(out)
 	result := daemonsResult{daemons, []string{}, failures}
 	for _, st := range daemons {
--- a/internal/ctl/status_subject.go
+++ b/internal/ctl/status_subject.go
@@ -17,18 +17,19 @@
 	admin.BackendServer
 }
 
-func statusOfBackend(ctx context.Context, out *output, t *targets, id string) int {
-	at, _, found, err := findBackend(ctx, t, id)
+func statusOfBackend(ctx context.Context, out *output, t *targetFlags, id string) int {
+	at, found, err := findBackend(ctx, t, id)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
 	out.result(backendResult{at.vm, found}, func(w io.Writer) {
 		writeBackends(w, []admin.BackendServer{found}, func(admin.BackendServer) string { return at.vm })
 	})
-	return outStatus(found)
+	return exitStatusIfOut(found)
 }
 
-func outStatus(b admin.BackendServer) int {
+// exitStatusIfOut reports a backend server that is out by the exit status, for scripts.
+func exitStatusIfOut(b admin.BackendServer) int {
 	if b.Ejection.State.Mode.IsOut() {
 		return StatusFindings
 	}
@@ -47,18 +48,18 @@
 	NotReached []failure `json:"notReached"`
 }
 
-func statusOfService(ctx context.Context, out *output, t *targets, name string) int {
+func statusOfService(ctx context.Context, out *output, t *targetFlags, name string) int {
 	c, err := t.resolve(ctx)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
 	svc, vms, err := serviceInForce(ctx, c.targets, t, name)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
-	homes := choice{}
+	homes := targetList{}
 	homes.add(homesOf(svc, vms))
-	daemons, failures, status := split(out, ask(ctx, homes.targets, t.timeout, getStatus))
+	daemons, failures, status := splitReplies(out, ask(ctx, homes.targets, t.timeout, getStatus))
 	homes.warn(out)
 	result := serviceResult{Service: name, Generation: svc.Generation, Total: len(svc.BackendServers), NotReached: failures}
 	result.Floor = floorOf(svc)
@@ -108,8 +109,8 @@
 }
 
 // serviceInForce returns the service and the VMs as the first daemon that responds has them in force.
-func serviceInForce(ctx context.Context, list []target, t *targets, name string) (contract.Service, []admin.VM, error) {
-	docs, from, err := documentsInForce(ctx, list, t, contract.ValueOf(contract.Ref{Kind: contract.KindService, Name: name}))
+func serviceInForce(ctx context.Context, list []target, t *targetFlags, name string) (contract.Service, []admin.VM, error) {
+	docs, from, err := documentsInForce(ctx, list, t, serviceValue(name))
 	if err != nil {
 		return contract.Service{}, nil, err
 	}
@@ -122,12 +123,17 @@
 	return contract.Service{}, nil, fmt.Errorf("no service %q is in force at the daemon at %s", name, from)
 }
 
-func documentsInForce(ctx context.Context, list []target, t *targets, value string) (admin.Documents, target, error) {
+func documentsInForce(ctx context.Context, list []target, t *targetFlags, value string) (admin.Documents, target, error) {
 	return firstReply(ctx, list, t.timeout, func(ctx context.Context, c *client) (d admin.Documents, err error) {
 		return d, c.getJSON(ctx, documentsPath(value), &d)
 	})
 }
 
+// serviceValue returns the name of the value that holds a service.
+func serviceValue(name string) string {
+	return contract.ValueOf(contract.Ref{Kind: contract.KindService, Name: name})
+}
+
 func documentsPath(value string) string { return "/v1/documents?value=" + url.QueryEscape(value) }
 
 // homesOf returns the VMs that run backend servers of the service.
@@ -174,13 +180,13 @@
 	NotReached []failure       `json:"notReached"`
 }
 
-func statusOfCustomer(ctx context.Context, out *output, t *targets, name string) int {
+func statusOfCustomer(ctx context.Context, out *output, t *targetFlags, name string) int {
 	c, err := t.resolve(ctx)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
 	value := contract.ValueOf(contract.Ref{Kind: contract.KindContract, Name: name})
-	states, failures, status := split(out, ask(ctx, c.targets, t.timeout, func(ctx context.Context, c *client) (customerState, error) {
+	states, failures, status := splitReplies(out, ask(ctx, c.targets, t.timeout, func(ctx context.Context, c *client) (customerState, error) {
 		return customerAt(ctx, c, value, name)
 	}))
 	c.warn(out)
--- a/internal/ctl/table.go
+++ b/internal/ctl/table.go
@@ -58,3 +58,14 @@
 	}
 	return text
 }
+
+// maxNamed bounds the names in one line of a warning.
+const maxNamed = 5
+
+// namesText lists names, the first ones only when they are many.
+func namesText(names []string) string {
+	if len(names) > maxNamed {
+		return fmt.Sprintf("%s and %d more", strings.Join(names[:maxNamed], ", "), len(names)-maxNamed)
+	}
+	return strings.Join(names, ", ")
+}
--- a/internal/ctl/targets.go
+++ b/internal/ctl/targets.go
@@ -8,7 +8,6 @@
 	"net/url"
 	"os"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -20,8 +19,8 @@
 // maxParallel bounds the calls at the same time, so that a question to 1,200 daemons needs few sockets.
 const maxParallel = 32
 
-// targets are the flags that say which daemons a command asks.
-type targets struct {
+// targetFlags are the flags that say which daemons a command asks.
+type targetFlags struct {
 	admin     []string
 	documents string
 	fleet     bool
@@ -33,7 +32,7 @@
 	"listener on this VM is asked (" + DefaultAdminAddress + "). --fleet asks one of them for all VMs of its configuration and\n" +
 	"then asks the daemons of these VMs."
 
-func (t *targets) register(p *flaggy.Parser) {
+func (t *targetFlags) register(p *flaggy.Parser) {
 	t.timeout = DefaultClientTimeout
 	p.StringSlice(&t.admin, "a", "admin", "host:port of an admin listener; may be repeated (default "+DefaultAdminAddress+")")
 	p.String(&t.documents, "", "documents", "directory of documents; the admin addresses of its VMs are asked")
@@ -53,16 +52,16 @@
 	return t.vm + " (" + t.address + ")"
 }
 
-// choice is the result of resolve.
-type choice struct {
+// targetList is what targetFlags.resolve returns.
+type targetList struct {
 	targets []target
-	// silent are VMs without an admin address of their own. They cannot be asked from here.
-	silent []string
+	// notAskable are VMs without an admin address of their own. They cannot be asked from here.
+	notAskable []string
 }
 
 // resolve returns the daemons that the flags name.
-func (t *targets) resolve(ctx context.Context) (choice, error) {
-	var c choice
+func (t *targetFlags) resolve(ctx context.Context) (targetList, error) {
+	var c targetList
 	for _, address := range t.admin {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return c, fmt.Errorf("--admin %q is not host:port", address)
@@ -95,7 +94,7 @@
 	if err != nil {
 		return c, err
 	}
-	c = choice{}
+	c = targetList{}
 	c.add(vms)
 	if len(c.targets) == 0 {
 		return c, errors.New("no VM of the configuration has an admin address that can be reached from here; run cowslipctl on the VMs")
@@ -105,14 +104,14 @@
 
 // add takes the VMs whose admin address is theirs alone. An address that several VMs have is a loopback address, which leads
 // to the daemon of the VM where it is used.
-func (c *choice) add(vms []admin.VM) {
+func (c *targetList) add(vms []admin.VM) {
 	uses := map[string]int{}
 	for _, vm := range vms {
 		uses[vm.AdminAddress]++
 	}
 	for _, vm := range vms {
 		if vm.AdminAddress == "" || uses[vm.AdminAddress] > 1 {
-			c.silent = append(c.silent, vm.VM)
+			c.notAskable = append(c.notAskable, vm.VM)
 		} else {
 			c.targets = append(c.targets, target{vm.AdminAddress, vm.VM})
 		}
@@ -120,11 +119,10 @@
 }
 
 // warn tells which VMs are not asked.
-func (c choice) warn(out *output) {
-	if len(c.silent) > 0 {
-		shown := c.silent[:min(len(c.silent), 5)]
+func (c targetList) warn(out *output) {
+	if len(c.notAskable) > 0 {
 		fmt.Fprintf(out.Err, "cowslipctl %s: %d VMs have no admin address that can be reached from here and are not asked: %s\n",
-			out.command, len(c.silent), strings.Join(shown, ", "))
+			out.command, len(c.notAskable), namesText(c.notAskable))
 	}
 }
 
@@ -171,8 +169,8 @@
 	Reason  string `json:"reason"`
 }
 
-// split separates the values from the failures, writes a line for each failure, and returns the exit status of the failures.
-func split[T any](out *output, replies []reply[T]) (values []T, failures []failure, status int) {
+// splitReplies separates the values from the failures, writes a line for each failure, and returns the exit status of the failures.
+func splitReplies[T any](out *output, replies []reply[T]) (values []T, failures []failure, status int) {
 	failures = []failure{}
 	for _, r := range replies {
 		if r.err == nil {
@@ -180,7 +178,7 @@
 			continue
 		}
 		failures = append(failures, failure{r.target.address, r.target.vm, r.err.Error()})
-		status = max(status, out.fail(statusOf(r.err), "%v", r.err))
+		status = max(status, out.fail(exitStatusOf(r.err), "%v", r.err))
 	}
 	return values, failures, status
 }
@@ -190,39 +188,40 @@
 }
 
 // findBackend asks where a backend server runs and returns the daemon of that VM with what it knows about it.
-func findBackend(ctx context.Context, t *targets, id string) (at target, st admin.Status, found admin.BackendServer, err error) {
+func findBackend(ctx context.Context, t *targetFlags, id string) (at target, found admin.BackendServer, err error) {
 	c, err := t.resolve(ctx)
 	if err != nil {
-		return at, st, found, err
+		return at, found, err
 	}
 	place, _, err := firstReply(ctx, c.targets, t.timeout, func(ctx context.Context, c *client) (p admin.Placement, err error) {
 		return p, c.getJSON(ctx, "/v1/backends/"+url.PathEscape(id), &p)
 	})
 	if isNotFound(err) {
-		return at, st, found, fmt.Errorf("no service in force has a backend server %q", id)
+		return at, found, fmt.Errorf("no service in force has a backend server %q", id)
 	}
 	if err != nil {
-		return at, st, found, err
+		return at, found, err
 	}
 	candidates := c.targets
 	if place.VM.AdminAddress != "" {
 		candidates = append([]target{{place.VM.AdminAddress, place.VM.VM}}, candidates...)
 	}
 	for _, at = range candidates {
+		var st admin.Status
 		st, err = getStatus(ctx, newClient(at.address, t.timeout))
 		if err != nil || st.VM != place.VM.VM {
 			continue
 		}
 		i := slices.IndexFunc(st.BackendServers, func(b admin.BackendServer) bool { return b.BackendServer == id })
 		if i < 0 {
-			return at, st, found, fmt.Errorf("the daemon of %s does not have backend server %q in force yet", st.VM, id)
+			return at, found, fmt.Errorf("the daemon of %s does not have backend server %q in force yet", st.VM, id)
 		}
-		return target{at.address, st.VM}, st, st.BackendServers[i], nil
+		return target{at.address, st.VM}, st.BackendServers[i], nil
 	}
 	if err == nil {
 		err = &unreachableError{address: place.VM.VM, reason: "its admin listener cannot be reached from here; run cowslipctl on that VM, or name the listener with --admin"}
 	}
-	return at, st, found, fmt.Errorf("backend server %s runs on VM %s: %w", id, place.VM.VM, err)
+	return at, found, fmt.Errorf("backend server %s runs on VM %s: %w", id, place.VM.VM, err)
 }
 
 // operatorName is the default of --operator: who runs the command, for the audit trail.
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -40,7 +40,7 @@
 		"cowslipctl wait --revision 1234 --fleet --limit 2m --output json   # for scripts",
 	},
 	setup: func(p *flaggy.Parser) runFunc {
-		t := new(targets)
+		t := new(targetFlags)
 		t.register(p)
 		q := waitQuestion{limit: defaultWait}
 		p.UInt64(&q.revision, "r", "revision", "revision that must be in force")
@@ -87,7 +87,7 @@
 	return h, err
 }
 
-func runWait(out *output, args []string, t *targets, q waitQuestion) int {
+func runWait(out *output, args []string, t *targetFlags, q waitQuestion) int {
 	if len(args) > 0 || q.revision == 0 && len(q.values) == 0 {
 		return out.usage("give --revision, --value, or both")
 	}
@@ -100,11 +100,11 @@
 	ctx := context.Background()
 	c, err := t.resolve(ctx)
 	if err != nil {
-		return out.fail(statusOf(err), "%v", err)
+		return out.fail(exitStatusOf(err), "%v", err)
 	}
 	c.warn(out)
 	start := time.Now()
-	result := waitResult{NotAsked: c.silent}
+	result := waitResult{NotAsked: c.notAskable}
 	for {
 		result.Daemons = q.judge(ask(ctx, c.targets, t.timeout, getHeld))
 		result.InForce = !slices.ContainsFunc(result.Daemons, func(s waitState) bool { return s.Lacks != "" })
