Admit more concurrency while the holder of a limit waits

Cause: a holder grants nothing for one lease after its start, and until then each daemon admitted one request in flight per customer, whatever the limit. The tenth of the concurrency that is reserved for base allowances was otherwise unused. Change: the base allowance of concurrency is the daemon's part of the reserved tenth, at least one request. An entry without a share whose holder answers that it does not grant admits four times that, until the first grant or one lease after it last asked. The answer NotHolder carries this, so no message changes. Bounds on top of 0.9 of the limit: the larger of N and 0.1, and of N and 0.4 while a holder waits. Ruled out: granting at once when all known processes of the region hold no share. A replaced process that still runs can not be asked; the model test refuted it with the first check (90.8 of 90 requests a second usable). Also ruled out: the larger part at all times, which makes 1.3 of the concurrency usable in ordinary operation, and a separate part granted by the waiting holder, which two replacements within a lease would grant twice. Tests: the model starts the fleet anew and replaces all processes at once, and a second property adds up requests in flight. It fails when the larger part is added to a share (50 in flight, bound 49), and with a holder that does not wait. "exchange" delivers whole rounds, without which full shares were too rare for the first of these.

--- a/cmd/measure-limits/fleet.go
+++ b/cmd/measure-limits/fleet.go
@@ -74,21 +74,21 @@
 
 func newFleet(s scenario, m mechanism) *fleet {
 	f := &fleet{scenario: s, mechanism: m, random: rand.New(rand.NewPCG(1, 2)), names: map[string]contract.Limits{},
-		plan: limits.Plan{Daemons: fleetSize, RegionWeight: 1, BaseFactor: m.factor, BaseBurst: m.burst}, holders: map[string]*limits.Holder{},
+		plan: limits.Plan{Daemons: s.daemons, RegionWeight: 1, BaseFactor: m.factor, BaseBurst: m.burst}, holders: map[string]*limits.Holder{},
 		splits: map[[2]int]*splitBucket{}, bytes: map[string]int{},
 		offered: make([]int, s.customers), admitted: make([]int, s.customers), second: make([]int, s.customers)}
 	for i := range s.customers {
 		c := &catalog.Customer{Name: fmt.Sprint("customer-", i), Generation: 1,
-			Limits: contract.Limits{RatePerSecond: s.limit, Concurrency: int(s.limit) + 1}}
+			Limits: contract.Limits{RatePerSecond: s.limit, Concurrency: s.concurrency}}
 		f.customers = append(f.customers, c)
 		f.names[c.Name] = c.Limits
 	}
 	var vms []string
-	for i := range fleetSize {
+	for i := range s.daemons {
 		vms = append(vms, vmName(i))
 	}
 	f.view = limits.NewView(vms)
-	for i := range fleetSize {
+	for i := range s.daemons {
 		u := limits.NewUser(start, limits.Sender{VM: vmName(i), Incarnation: 1}, f.plan)
 		u.SetView(f.view)
 		f.users = append(f.users, u)
@@ -106,8 +106,12 @@
 func (f *fleet) holder(vm string) *limits.Holder {
 	h := f.holders[vm]
 	if h == nil {
-		h = limits.NewHolder(start.Add(-time.Hour), vm, f.plan)
-		h.SetView(start.Add(-time.Hour), f.view)
+		began := start.Add(-time.Hour)
+		if f.scenario.start {
+			began = start
+		}
+		h = limits.NewHolder(began, vm, f.plan)
+		h.SetView(began, f.view)
 		f.holders[vm] = h
 	}
 	return h
@@ -116,10 +120,14 @@
 func (f *fleet) at(t time.Time, do func(time.Time)) { heap.Push(&f.queue, event{t, do}) }
 
 func (f *fleet) run(measured time.Duration) result {
-	for now := start; now.Before(start.Add(warmUp + measured)); now = now.Add(limits.TickInterval) {
+	unmeasured := warmUp
+	if f.scenario.start {
+		unmeasured, measured = 0, limits.Lease
+	}
+	for now := start; now.Before(start.Add(unmeasured + measured)); now = now.Add(limits.TickInterval) {
 		if elapsed := now.Sub(start); elapsed%time.Second == 0 {
 			f.endSecond()
-			f.measured = elapsed >= warmUp
+			f.measured = elapsed >= unmeasured
 		}
 		f.arrivals(now)
 		f.drain(now.Add(limits.TickInterval))
--- a/cmd/measure-limits/split.go
+++ b/cmd/measure-limits/split.go
@@ -10,7 +10,7 @@
 
 // admitSplit admits by an equal part of the limit for each daemon, with a burst of at least one request.
 func (f *fleet) admitSplit(now time.Time, customer, daemon int) bool {
-	rate := f.scenario.limit / fleetSize
+	rate := f.scenario.limit / float64(f.scenario.daemons)
 	key := [2]int{customer, daemon}
 	b := f.splits[key]
 	if b == nil {
--- a/internal/limits/doc.go
+++ b/internal/limits/doc.go
@@ -28,6 +28,10 @@
 //
 // # Concurrency
 //
+// An entry without a share admits its part of the reserved tenth (Plan.BaseConcurrency), and four times as many while its holder
+// waits (Plan.WaitingConcurrency). All fixed parts together are at most a tenth of the limit, or 0.4 while holders wait, or one
+// request for each daemon when that is more. The larger part never adds to a share of the entry.
+//
 // Requests in flight may outlive their share. The entry admits no new request while it has as many in flight as share and
 // base allowance allow, keeps reporting them, and the holder counts the larger of grant and report until the lease ends. The
 // holder does not know of requests at an entry that can not reach it. They exceed the limit by at most the region's part for each
--- a/internal/limits/grant.go
+++ b/internal/limits/grant.go
@@ -40,13 +40,13 @@
 }
 
 // concurrency returns what the sender may use at most, or has in flight beyond its base allowance.
-func (g *grant) concurrency(now time.Time) uint64 {
+func (g *grant) concurrency(now time.Time, base uint64) uint64 {
 	n := g.grantedConcurrency
 	if now.Before(g.heldUntil) {
 		n = max(n, g.heldConcurrency)
 	}
-	if g.inFlight > baseConcurrency {
-		n = max(n, g.inFlight-baseConcurrency)
+	if g.inFlight > base {
+		n = max(n, g.inFlight-base)
 	}
 	return n
 }
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -141,12 +141,12 @@
 	}
 	g.report(d)
 	rates, concurrencies := h.plan.RatePart(l), uint64(h.plan.ConcurrencyPart(l))
-	n, least := len(c.grants), leastRate(l)
+	n, least, base := len(c.grants), leastRate(l), uint64(h.plan.BaseConcurrency(l))
 	var usedRate, usedConcurrency uint64
 	for _, other := range c.grants {
 		if other != g {
 			usedRate += other.rate(now)
-			usedConcurrency += other.concurrency(now)
+			usedConcurrency += other.concurrency(now, base)
 		}
 	}
 	rate := fairGrant(rates, g.wantRate, headroomRateMilli, n, func(i int) uint64 { return c.grants[i].wantRate })
--- a/internal/limits/limits_test.go
+++ b/internal/limits/limits_test.go
@@ -275,3 +275,67 @@
 		t.Errorf("requests in flight are not reported: %+v", out)
 	}
 }
+
+// While its holder waits, an entry must admit more than its base allowance, but never beside a share, since the holder that grants
+// counts on the base allowance alone.
+func TestLargerAllowanceWhileHolderWaits(t *testing.T) {
+	plan := Plan{Daemons: 10, RegionWeight: 1, BaseBurst: 1000}
+	u := NewUser(testTime, Sender{"e", 1}, plan)
+	u.SetView(NewView([]string{"h"}))
+	inFlight := 0
+	admit := func(after time.Duration) int {
+		for u.Admit(testTime.Add(after), wideCustomer).OK {
+			inFlight++
+		}
+		return inFlight
+	}
+	ask := func(after time.Duration) Outgoing {
+		out := u.Tick(testTime.Add(after))
+		if len(out) != 1 {
+			t.Fatalf("%d requests for shares after %s", len(out), after)
+		}
+		return out[0]
+	}
+	if n := admit(0); n != 4 { // a tenth of 400 divided by 10 daemons
+		t.Errorf("%d in flight before the holder answered", n)
+	}
+	u.Apply(testTime.Add(200*time.Millisecond), ask(TickInterval), Response{NotHolder: []string{"wide"}})
+	if n := admit(200 * time.Millisecond); n != 16 {
+		t.Errorf("%d in flight while the holder waits", n)
+	}
+	for inFlight > 0 {
+		inFlight--
+		u.Release("wide")
+	}
+	if n := admit(TickInterval + Lease); n != 4 {
+		t.Errorf("%d in flight one lease after the holder was asked", n)
+	}
+	o := ask(6 * time.Second)
+	u.Apply(testTime.Add(6*time.Second), o, Response{NotHolder: []string{"wide"}})
+	u.Apply(testTime.Add(7*time.Second), ask(7*time.Second), Response{Grants: []Grant{{"wide", 1000, 3}}})
+	if n := admit(7 * time.Second); n != 7 {
+		t.Errorf("%d in flight with a share of 3", n)
+	}
+	u.Apply(testTime.Add(8*time.Second), o, Response{NotHolder: []string{"wide"}}) // overtaken
+	if s := u.shard("wide").states["wide"]; s.baseConcurrency(testTime.Add(7*time.Second+Lease), plan) != 4 {
+		t.Error("the larger allowance came back although the holder has granted")
+	}
+}
+
+// The fixed parts of all daemons together must keep to the reserved tenth, or to 0.4 of the limit while holders wait, beyond the
+// first request of each daemon; with the parts of all regions a customer then never passes its contract.
+func TestFixedPartsKeepToContract(t *testing.T) {
+	for concurrency := 1; concurrency < 3000; concurrency++ {
+		l := contract.Limits{RatePerSecond: 100, Concurrency: concurrency}
+		for _, daemons := range []int{1, 2, 3, 7, 10, 120, 1200} {
+			p := Plan{Daemons: daemons, RegionWeight: 0.5}
+			base, waiting := int(p.BaseConcurrency(l))*daemons, int(p.WaitingConcurrency(l))*daemons
+			if base > max(daemons, concurrency/10) || waiting > max(daemons, concurrency*4/10) || base < daemons || waiting < base {
+				t.Fatalf("concurrency %d, %d daemons: fixed parts %d, %d while holders wait", concurrency, daemons, base, waiting)
+			}
+			if shares := 2 * int(p.ConcurrencyPart(l)); concurrency >= 10*daemons && concurrency > 2 && shares+base > concurrency {
+				t.Fatalf("concurrency %d, %d daemons: %d in shares and %d in fixed parts", concurrency, daemons, shares, base)
+			}
+		}
+	}
+}
--- a/internal/limits/model_test.go
+++ b/internal/limits/model_test.go
@@ -33,6 +33,8 @@
 	user *User
 	clock
 	inFlight int
+	// waited is true when requests in flight may have come without a share while the holder waited.
+	waited bool
 }
 
 type holderProcess struct {
@@ -55,18 +57,22 @@
 	holders  []*holderProcess
 	messages []message
 	next     uint64
+	plan     Plan
 	customer *catalog.Customer
 }
 
 // smallCustomer has the long lease.
 var smallCustomer = &catalog.Customer{Name: "small", Generation: 1, Limits: contract.Limits{RatePerSecond: 20, Concurrency: 50}}
 
+// wideCustomer has more than one request in flight in each base allowance.
+var wideCustomer = &catalog.Customer{Name: "wide", Generation: 1, Limits: contract.Limits{RatePerSecond: 1000, Concurrency: 400}}
+
 func (n *network) limitsOf(string) (contract.Limits, bool) { return n.customer.Limits, true }
 
 var modelHolders = []string{"h0", "h1"}
 
-func newNetwork(t *rapid.T, v *View) *network {
-	n := &network{customer: rapid.SampledFrom([]*catalog.Customer{acme, smallCustomer}).Draw(t, "customer")}
+func newNetwork(t *rapid.T, v *View, plan Plan) *network {
+	n := &network{plan: plan, customer: rapid.SampledFrom([]*catalog.Customer{acme, smallCustomer, wideCustomer}).Draw(t, "customer")}
 	for _, name := range modelHolders {
 		n.holders = append(n.holders, &holderProcess{name: name, clock: drawClock(t)})
 	}
@@ -76,7 +82,13 @@
 	for range 4 {
 		n.startEntry(t, v)
 	}
+	// The fleet has run for long, or starts now.
 	n.elapsed = 10 * time.Minute
+	if rapid.Bool().Draw(t, "start") {
+		for i := range n.holders {
+			n.startHolder(i, v)
+		}
+	}
 	return n
 }
 
@@ -86,14 +98,14 @@
 
 func (n *network) startHolder(i int, v *View) {
 	h := n.holders[i]
-	h.holder = NewHolder(h.at(n.elapsed), h.name, onePlan)
+	h.holder = NewHolder(h.at(n.elapsed), h.name, n.plan)
 	h.holder.SetView(h.at(n.elapsed), v)
 }
 
 func (n *network) startEntry(t *rapid.T, v *View) {
 	n.next++
 	e := &entryProcess{clock: drawClock(t)}
-	e.user = NewUser(e.at(n.elapsed), Sender{fmt.Sprint("e", n.next%4), n.next}, onePlan)
+	e.user = NewUser(e.at(n.elapsed), Sender{fmt.Sprint("e", n.next%4), n.next}, n.plan)
 	e.user.SetView(v)
 	n.entries = append(n.entries, e)
 }
@@ -155,6 +167,19 @@
 	}
 }
 
+// exchange sends the requests of all entries and delivers them and their responses at once, so that full shares arise in a few steps.
+func (n *network) exchange(*rapid.T) {
+	for _, e := range n.entries {
+		for _, o := range e.user.Tick(e.at(n.elapsed)) {
+			for _, h := range n.holders {
+				if h.name == o.Holder {
+					e.user.Apply(e.at(n.elapsed), o, h.holder.Handle(h.at(n.elapsed), o.Request, n.limitsOf))
+				}
+			}
+		}
+	}
+}
+
 func (n *network) lose(t *rapid.T) {
 	if i, ok := n.message(t); ok {
 		n.messages = append(n.messages[:i], n.messages[i+1:]...)
@@ -180,21 +205,78 @@
 
 func (n *network) check(t *rapid.T, holder string, parts uint64) {
 	rate, concurrency := n.usable(holder)
-	if rate > parts*onePlan.RatePart(n.customer.Limits) || concurrency > parts*uint64(onePlan.ConcurrencyPart(n.customer.Limits)) {
+	if rate > parts*n.plan.RatePart(n.customer.Limits) || concurrency > parts*uint64(n.plan.ConcurrencyPart(n.customer.Limits)) {
 		t.Fatalf("usable shares from %q: %d/1000 a second and %d in flight, above %d parts", holder, rate, concurrency, parts)
 	}
 }
 
+func (n *network) setView(v *View) {
+	for _, h := range n.holders {
+		h.holder.SetView(h.at(n.elapsed), v)
+	}
+	for _, e := range n.entries {
+		e.user.SetView(v)
+	}
+}
+
+// flood sends requests at all entries until each has refused some, which doubles its demand.
+func (n *network) flood(*rapid.T) {
+	for _, e := range n.entries {
+		for refused := 0; refused < 20; {
+			if e.user.Admit(e.at(n.elapsed), n.customer).OK {
+				e.inFlight++
+			} else {
+				refused++
+			}
+		}
+		s := e.user.shard(n.customer.Name).states[n.customer.Name]
+		e.waited = e.waited || !s.share.valid(e.at(n.elapsed)) && e.at(n.elapsed).Before(s.holderWaits)
+	}
+}
+
+// endAll ends all requests in flight.
+func (n *network) endAll() {
+	for _, e := range n.entries {
+		for ; e.inFlight > 0; e.inFlight-- {
+			e.user.Release(n.customer.Name)
+		}
+		e.waited = false
+	}
+}
+
+// checkInFlight compares the requests in flight with the part and the base allowances of all processes.
+func (n *network) checkInFlight(t *rapid.T) {
+	total, bound := 0, int(n.plan.ConcurrencyPart(n.customer.Limits))
+	for _, e := range n.entries {
+		total += e.inFlight
+		if e.waited {
+			bound += int(n.plan.WaitingConcurrency(n.customer.Limits))
+		} else {
+			bound += int(n.plan.BaseConcurrency(n.customer.Limits))
+		}
+	}
+	if total > bound {
+		t.Fatalf("%d requests in flight, above the bound of %d for %d processes", total, bound, len(n.entries))
+	}
+}
+
 func (n *network) actions(view func() *View) map[string]func(*rapid.T) {
 	return map[string]func(*rapid.T){
 		"traffic 1": n.traffic, "traffic 2": n.traffic, "release": n.release, "tick 1": n.tick, "tick 2": n.tick, "tick 3": n.tick,
-		"deliver 1": n.deliver, "deliver 2": n.deliver, "deliver 3": n.deliver, "deliver 4": n.deliver, "lose": n.lose, "pass": n.pass,
+		"deliver 1": n.deliver, "deliver 2": n.deliver, "deliver 3": n.deliver, "deliver 4": n.deliver, "lose": n.lose, "pass": n.pass, "exchange": n.exchange,
 		"restart": func(t *rapid.T) {
 			switch rapid.IntRange(0, 5).Draw(t, "restart") {
 			case 0:
 				n.startHolder(rapid.IntRange(0, 1).Draw(t, "holder"), view())
 			case 1:
 				n.startEntry(t, view()) // the process before keeps its shares
+			case 2:
+				for i := range n.holders { // the whole fleet
+					n.startHolder(i, view())
+				}
+				for range 4 {
+					n.startEntry(t, view())
+				}
 			}
 		},
 	}
@@ -208,7 +290,7 @@
 func TestSharesNeverExceedPart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		view := drawView(t)
-		n := newNetwork(t, view)
+		n := newNetwork(t, view, onePlan)
 		actions := n.actions(func() *View { return view })
 		actions[""] = func(t *rapid.T) { n.check(t, "", 1) }
 		actions["change view"] = func(t *rapid.T) {
@@ -216,12 +298,7 @@
 				return
 			}
 			view = drawView(t)
-			for _, h := range n.holders {
-				h.holder.SetView(h.at(n.elapsed), view)
-			}
-			for _, e := range n.entries {
-				e.user.SetView(view)
-			}
+			n.setView(view)
 		}
 		t.Repeat(actions)
 	})
@@ -230,7 +307,7 @@
 // While views differ, each holder must keep to the part, so that the sum is at most twice the part.
 func TestTwoHoldersExceedByOnePart(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		n := newNetwork(t, NewView(modelHolders))
+		n := newNetwork(t, NewView(modelHolders), onePlan)
 		actions := n.actions(func() *View { return drawView(t) })
 		actions[""] = func(t *rapid.T) {
 			n.check(t, "h0", 1)
@@ -247,3 +324,31 @@
 		t.Repeat(actions)
 	})
 }
+
+// Requests that end at once are in flight only together with others of the same moment. Then the sum of requests in flight, not only
+// of shares, must keep to the bound, whatever starts, restarts and new holders do: the part, and for each process its base allowance,
+// which is larger only while a holder waits.
+func TestInFlightKeepsToBound(t *testing.T) {
+	// The bucket is large, so that concurrency and not the rate is what refuses.
+	plan := Plan{Daemons: 10, RegionWeight: 1, BaseBurst: 1000}
+	rapid.Check(t, func(t *rapid.T) {
+		view := drawView(t)
+		n := newNetwork(t, view, plan)
+		actions := n.actions(func() *View { return view })
+		delete(actions, "traffic 2")
+		delete(actions, "release")
+		actions["traffic 1"] = n.flood
+		actions["pass"] = func(t *rapid.T) {
+			n.endAll()
+			n.pass(t)
+		}
+		actions["change view"] = func(t *rapid.T) {
+			if rapid.IntRange(0, 4).Draw(t, "change") == 0 {
+				view = drawView(t)
+				n.setView(view)
+			}
+		}
+		actions[""] = n.checkInFlight
+		t.Repeat(actions)
+	})
+}
--- a/internal/limits/plan.go
+++ b/internal/limits/plan.go
@@ -22,8 +22,6 @@
 	// DefaultBaseFactor and DefaultBaseBurst are chosen by the table in docs/limits.md.
 	DefaultBaseFactor = 4
 	DefaultBaseBurst  = 3
-	// baseConcurrency is the number of requests in flight that an entry admits without a share.
-	baseConcurrency = 1
 )
 
 // LeaseOf returns how long a share of the limits is valid, counted by the entry from when it sent its request.
@@ -78,6 +76,19 @@
 	return l.RatePerSecond * BaseReserve * factor / float64(max(p.Daemons, 1))
 }
 
+// BaseConcurrency returns how many requests in flight an entry admits without a share: its part of the reserved tenth, at least 1.
+func (p Plan) BaseConcurrency(l contract.Limits) uint32 { return p.fixedConcurrency(l, 1) }
+
+// WaitingConcurrency returns how many requests in flight an entry admits without a share while its holder grants nothing yet. It
+// takes the default factor of the base rate, so that rate and concurrency have the same bound: 0.4 of the limit on top of shares.
+func (p Plan) WaitingConcurrency(l contract.Limits) uint32 {
+	return p.fixedConcurrency(l, DefaultBaseFactor)
+}
+
+func (p Plan) fixedConcurrency(l contract.Limits, factor float64) uint32 {
+	return uint32(max(1, math.Floor(float64(l.Concurrency)*BaseReserve*factor/float64(max(p.Daemons, 1)))))
+}
+
 func (p Plan) baseBurst() float64 {
 	if p.BaseBurst == 0 {
 		return DefaultBaseBurst
--- a/internal/limits/state.go
+++ b/internal/limits/state.go
@@ -87,6 +87,9 @@
 	sequence uint64
 	asked    time.Time
 	want     Demand
+	// holderWaits is one lease after the last request that was answered by a daemon that does not grant: it waits as a new holder, or
+	// is none by its view.
+	holderWaits time.Time
 	// cut is true when the last grant was below what was wanted.
 	cut bool
 	// cutRetry is when to ask again after a grant below half the demand. It grows up to the time of a renewal.
@@ -110,7 +113,7 @@
 // admit decides about one request.
 func (s *state) admit(now time.Time, plan Plan) Decision {
 	s.peak = max(s.peak, s.inFlight+1)
-	allowed := uint32(baseConcurrency)
+	allowed := s.baseConcurrency(now, plan)
 	shared := s.share.valid(now)
 	if shared {
 		allowed += s.share.concurrency
@@ -130,6 +133,15 @@
 	return Decision{Err: errkind.New(errkind.RateLimited, s.rateDetail), Wait: s.wait(shared, s.share.used.tokens)}
 }
 
+// baseConcurrency returns how many requests in flight are admitted without a share. The larger part applies only without one, so that
+// it never adds to a share of the holder that has begun to grant.
+func (s *state) baseConcurrency(now time.Time, plan Plan) uint32 {
+	if !s.share.valid(now) && now.Before(s.holderWaits) {
+		return plan.WaitingConcurrency(s.limits)
+	}
+	return plan.BaseConcurrency(s.limits)
+}
+
 // wait returns how long the entry may hold a refused request before it asks again, or 0 when the refusal is final: the
 // customer's share is cut, so its limit is reached.
 func (s *state) wait(shared bool, tokens float64) time.Duration {
@@ -185,11 +197,11 @@
 }
 
 // due decides whether to send a request now. It is called for wanted states only.
-func (s *state) due(now time.Time, baseRate float64) (d Demand, ask, keep bool) {
-	since := now.Sub(s.asked)
+func (s *state) due(now time.Time, plan Plan) (d Demand, ask, keep bool) {
+	since, baseRate, base := now.Sub(s.asked), plan.BaseRate(s.limits), plan.BaseConcurrency(s.limits)
 	d = s.demand()
 	shared := s.share.valid(now)
-	idle := s.rate*Lease.Seconds() < 0.5 && s.inFlight <= baseConcurrency || s.rate < baseRate/2 && s.lastPeak <= baseConcurrency
+	idle := s.rate*Lease.Seconds() < 0.5 && s.inFlight <= base || s.rate < baseRate/2 && s.lastPeak <= base
 	switch {
 	case idle && shared && s.share.rateMilli > 0 && since >= returnAfter && s.share.paid(now):
 		d.RateMilli, d.Concurrency = 0, 0
--- a/internal/limits/user.go
+++ b/internal/limits/user.go
@@ -173,7 +173,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	s.sample(now)
-	d, ask, keep := s.due(now, sh.plan.BaseRate(s.limits))
+	d, ask, keep := s.due(now, sh.plan)
 	s.wanted = keep
 	if !ask {
 		return keep, false
@@ -215,11 +215,19 @@
 		}
 		sh.mu.Unlock()
 	}
+	for _, customer := range r.NotHolder {
+		sh := u.shard(customer)
+		sh.mu.Lock()
+		if s := sh.states[customer]; s != nil && s.sequence == o.Request.Sequence {
+			s.holderWaits = s.asked.Add(Lease)
+		}
+		sh.mu.Unlock()
+	}
 }
 
 // accept replaces the share. Tokens gathered under the old share stay, within the new size of the bucket.
 func (s *state) accept(now time.Time, holder string, g Grant) {
-	s.sequence = 0
+	s.sequence, s.holderWaits = 0, time.Time{}
 	if s.want.RateMilli == 0 {
 		return // the response to a return
 	}
