Test that a daemon serves only the configuration of its start

Cause: the rule had no unit test; the one tried before hung, because New opens real sockets, which synctest does not see as idle. Change: the rule is the type startGate, and build returns a daemon without listeners, so that the tests run in virtual time. Ruled out: a Daemon value with a few fields only, since publish needs home, guard, propagation and limits anyhow.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -56,21 +56,7 @@
 			return
 		case <-d.published:
 		}
-		// Read before publishing: when the start procedure is over, all values of the start are applied, so they are published now.
-		startOver := d.startOver.Load()
-		snapshot := d.book.Publish()
-		if snapshot == nil {
-			continue // only the index is held, which has no documents
-		}
-		for _, err := range d.home.Apply(snapshot) {
-			d.log.Part("home").Warn("Detector settings are not usable.", "err", err)
-		}
-		d.guard.update(snapshot)
-		d.sync.SetDirectory(directoryOf(snapshot))
-		d.updatePlan(snapshot)
-		if startOver {
-			d.ready.Store(true)
-		}
+		d.start.publish(d.publishApplied)
 		select {
 		case <-ctx.Done():
 			return
@@ -79,6 +65,21 @@
 	}
 }
 
+// publishApplied puts the applied values in force. It returns false while only the index is held, which has no documents.
+func (d *Daemon) publishApplied() bool {
+	snapshot := d.book.Publish()
+	if snapshot == nil {
+		return false
+	}
+	for _, err := range d.home.Apply(snapshot) {
+		d.log.Part("home").Warn("Detector settings are not usable.", "err", err)
+	}
+	d.guard.update(snapshot)
+	d.sync.SetDirectory(directoryOf(snapshot))
+	d.updatePlan(snapshot)
+	return true
+}
+
 func directoryOf(snapshot *catalog.Snapshot) *membership.Directory {
 	vms := make([]membership.VM, 0, len(snapshot.VMs()))
 	for _, vm := range snapshot.VMs() {
@@ -167,7 +168,7 @@
 	case configsync.EventAccepted, configsync.EventInForce:
 		return // the documents are audited when they are merged
 	case configsync.EventReady:
-		d.startOver.Store(true)
+		d.start.setGathered()
 		d.wakePublish()
 		d.updateView()
 		info("The start procedure is over.", "reason", e.Reason)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -55,8 +55,8 @@
 	published chan struct{}
 	// askShares wakes the goroutine that asks for shares of limits.
 	askShares chan struct{}
-	// startOver is set when the start procedure is over, ready when what it gathered is in force.
-	startOver, ready atomic.Bool
+	// start opens when what the start procedure gathered is in force.
+	start startGate
 
 	guard     *peerGuard
 	drainOnce sync.Once
@@ -72,6 +72,15 @@
 
 // New builds the daemon and opens its listeners. Nothing is served before Run.
 func New(s settings.Settings, o Options) (*Daemon, error) {
+	d, err := build(s, o)
+	if err != nil {
+		return nil, err
+	}
+	return d, d.listen()
+}
+
+// build returns the daemon without its listeners.
+func build(s settings.Settings, o Options) (*Daemon, error) {
 	log, err := telemetry.NewLogger(o.Log, s.Log.Format, s.Log.Level)
 	if err != nil {
 		return nil, err
@@ -96,7 +105,7 @@
 	})
 	d.guard = newPeerGuard(s, log.Part("peer"))
 	d.addGauges()
-	return d, d.listen()
+	return d, nil
 }
 
 // newIncarnation draws the number that tells this process from earlier ones of the same VM.
@@ -120,7 +129,7 @@
 
 // snapshot returns the configuration in force once the start procedure is over: before that, newer values may exist at peers.
 func (d *Daemon) snapshot() *catalog.Snapshot {
-	if !d.ready.Load() {
+	if !d.start.isOpen() {
 		return nil
 	}
 	return d.book.Snapshot()
