--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -65,18 +66,25 @@
 	}
 }
 
-// publishApplied puts the applied values in force. It returns false while only the index is held, which has no documents.
+// publishApplied puts the applied values in force. It returns false while only the index is held, which has no documents. Most changes
+// are of contracts, which concern only the look-ups in the snapshot.
 func (d *Daemon) publishApplied() bool {
+	before := d.book.Snapshot()
 	snapshot := d.book.Publish()
 	if snapshot == nil {
 		return false
 	}
-	for _, err := range d.home.Apply(snapshot) {
-		d.log.Part("home").Warn("Detector settings are not usable.", "err", err)
+	// A snapshot keeps the pointers of services and VMs that did not change. A service gets a new one when a VM of it changes.
+	if before == nil || !maps.Equal(before.Services(), snapshot.Services()) {
+		for _, err := range d.home.Apply(snapshot) {
+			d.log.Part("home").Warn("Detector settings are not usable.", "err", err)
+		}
+	}
+	if before == nil || !maps.Equal(before.VMs(), snapshot.VMs()) {
+		d.guard.update(snapshot)
+		d.sync.SetDirectory(directoryOf(snapshot))
+		d.updatePlan(snapshot)
 	}
-	d.guard.update(snapshot)
-	d.sync.SetDirectory(directoryOf(snapshot))
-	d.updatePlan(snapshot)
 	return true
 }
 
