--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -56,27 +57,35 @@
 			return
 		case <-d.published:
 		}
-		// Read before publishing: when the start procedure is over, all values of the start are applied, so they are published now.
-		startOver := d.startOver.Load()
-		snapshot := d.book.Publish()
-		if snapshot == nil {
-			continue // only the index is held, which has no documents
+		d.start.publish(d.publishApplied)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(publishDelay):
 		}
+	}
+}
+
+// publishApplied puts the applied values in force. It returns false while only the index is held, which has no documents. Most changes
+// are of contracts, which concern only the look-ups in the snapshot.
+func (d *Daemon) publishApplied() bool {
+	before := d.book.Snapshot()
+	snapshot := d.book.Publish()
+	if snapshot == nil {
+		return false
+	}
+	// A snapshot keeps the pointers of services and VMs that did not change. A service gets a new one when a VM of it changes.
+	if before == nil || !maps.Equal(before.Services(), snapshot.Services()) {
 		for _, err := range d.home.Apply(snapshot) {
 			d.log.Part("home").Warn("Detector settings are not usable.", "err", err)
 		}
+	}
+	if before == nil || !maps.Equal(before.VMs(), snapshot.VMs()) {
 		d.guard.update(snapshot)
 		d.sync.SetDirectory(directoryOf(snapshot))
 		d.updatePlan(snapshot)
-		if startOver {
-			d.ready.Store(true)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(publishDelay):
-		}
 	}
+	return true
 }
 
 func directoryOf(snapshot *catalog.Snapshot) *membership.Directory {
@@ -167,7 +176,7 @@
 	case configsync.EventAccepted, configsync.EventInForce:
 		return // the documents are audited when they are merged
 	case configsync.EventReady:
-		d.startOver.Store(true)
+		d.start.setGathered()
 		d.wakePublish()
 		d.updateView()
 		info("The start procedure is over.", "reason", e.Reason)
