Tell backend servers the caller's address and the customer

Cause: backend servers got neither, so they could not log, audit or localise by them, as users of a proxy expect. And what a caller wrote in X-Forwarded-For, Forwarded and the like reached them unchanged, so any caller could pass for another one. Change: the entry replaces X-Forwarded-For and X-Forwarded-Proto, and removes Forwarded, X-Real-IP and all other X-Forwarded-* headers. The settings' trustedProxies, empty by default, lists the proxies in front whose statements count, from the end of the list up to the first address that is not trusted. An owner of an operation key passes on what the first entry determined. The home passes Cowslip-Customer on. Spellings with underscores are removed too, for the headers of the system as well, because CGI variables cannot tell them apart. Ruled out: keeping the whole list of a trusted proxy, because a proxy that appends also keeps what a caller wrote in front; X-Forwarded-Host from a trusted proxy, because many pass it through unread and Host arrives as it was sent; writing Forwarded, because a reader of both notations would have to choose when they differ. Checked: without the replacement the tests with forged headers fail over HTTP/1.1 and HTTP/2 and through an owner. The added time was not measured, because the machine was under load.

--- a/internal/admin/handler_test.go
+++ b/internal/admin/handler_test.go
@@ -76,6 +76,8 @@
 		{"drain with Origin", call{method: "POST", path: "/v1/drain", body: "{}", header: origin}, http.StatusForbidden},
 		{"foreign Host", call{method: "GET", path: "/v1/status", host: "attacker.example:7002"}, http.StatusForbidden},
 		{"foreign Host without port", call{method: "GET", path: "/v1/status", host: "attacker.example"}, http.StatusForbidden},
+		{"foreign Host with a forged local one", call{method: "GET", path: "/v1/status", host: "attacker.example:7002", header: http.Header{
+			"X-Forwarded-Host": {"127.0.0.1:7002"}, "Forwarded": {"host=127.0.0.1"}, "X-Forwarded-For": {"127.0.0.1"}}}, http.StatusForbidden},
 		{"Host that looks like an address", call{method: "GET", path: "/v1/status", host: "127.0.0.1.example:7002"}, http.StatusForbidden},
 		{"drain as a form", call{method: "POST", path: "/v1/drain", body: "{}", header: form}, http.StatusUnsupportedMediaType},
 		{"drain without content type", call{method: "POST", path: "/v1/drain", body: "{}"}, http.StatusUnsupportedMediaType},
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -92,7 +92,7 @@
 		VM: s.VM, Locality: catalog.Locality{DataCentre: s.DataCentre, Region: s.Region},
 		Snapshot: d.snapshot, Incarnation: d.incarnation, Memory: d.memory, Leaving: d.home.Leaving,
 		Limiter: &limiter{user: d.shares, ask: d.askShares}, Transport: forward.NewPeerTransport(nil),
-		Observer: requestMetrics{d.metrics}, Seed: d.incarnation,
+		Observer: requestMetrics{d.metrics}, Seed: d.incarnation, TrustedProxies: prefixes(s.TrustedProxies),
 	})
 	d.guard = newPeerGuard(s, log.Part("peer"))
 	d.addGauges()
--- a/internal/daemon/guard.go
+++ b/internal/daemon/guard.go
@@ -31,16 +31,22 @@
 }
 
 func newPeerGuard(s settings.Settings, log *telemetry.Logger) *peerGuard {
-	g := &peerGuard{seeds: map[netip.Addr]bool{}, log: log}
+	g := &peerGuard{seeds: map[netip.Addr]bool{}, networks: prefixes(s.PeerNetworks), log: log}
 	for _, seed := range s.SeedPeers {
 		addHost(g.seeds, seed.Address)
 	}
-	for _, text := range s.PeerNetworks {
-		if network, err := netip.ParsePrefix(text); err == nil { // settings.Load refuses others
-			g.networks = append(g.networks, network)
+	return g
+}
+
+// prefixes returns the networks of a settings field, which settings.Load has checked.
+func prefixes(networks []string) []netip.Prefix {
+	var out []netip.Prefix
+	for _, text := range networks {
+		if network, err := netip.ParsePrefix(text); err == nil {
+			out = append(out, network)
 		}
 	}
-	return g
+	return out
 }
 
 // addHost adds the IP address of host:port. A host name adds nothing: it is not resolved, because the answer could change
--- a/internal/daemon/guard_test.go
+++ b/internal/daemon/guard_test.go
@@ -34,6 +34,9 @@
 		r.RemoteAddr = from
 		r.Header.Set(forward.HeaderBackend, "b1")
 		r.Header.Set(forward.HeaderRequestID, "id1")
+		for _, name := range []string{"X-Forwarded-For", "X-Real-Ip", "Forwarded"} {
+			r.Header.Set(name, "10.0.1.1") // states a peer's address, which must not count
+		}
 		w := httptest.NewRecorder()
 		h.ServeHTTP(w, r)
 		return w
--- a/internal/daemon/malformed_fuzz_test.go
+++ b/internal/daemon/malformed_fuzz_test.go
@@ -82,6 +82,8 @@
 			s.faults = append(s.faults, "a request without an id, which no daemon sends: "+got.method+" "+got.path)
 		case r.Header.Get("Authorization") != "":
 			s.faults = append(s.faults, "the API key reached the backend server")
+		case forgedOrigin(r.Header, "127.0.0.1") != "":
+			s.faults = append(s.faults, forgedOrigin(r.Header, "127.0.0.1"))
 		case r.ContentLength >= 0 && r.ContentLength != int64(got.body.Len()):
 			s.faults = append(s.faults, "the framing does not match the body")
 		}
@@ -113,7 +115,7 @@
 }
 
 // FuzzCallerBytes sends any bytes to the callers' listener. A backend server must never see a request whose method, target or
-// body differs from what net/http read, nor one that net/http did not read.
+// body differs from what net/http read, nor one that net/http did not read, nor another customer or caller's address.
 func FuzzCallerBytes(f *testing.F) {
 	const head = "Host: x\r\nAuthorization: Bearer " + testKey + "\r\n"
 	for _, seed := range []string{
@@ -123,6 +125,7 @@
 		"POST /a HTTP/1.1\r\n" + head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n" + head + "\r\n",
 		"PUT //a/..;/%2e%2e%5Cb HTTP/1.0\r\n" + head + "Content-Length: 1\r\n\r\nx",
 		"GET http://y/a%2Fb?%00 HTTP/1.1\r\n" + head + "Connection: Host, close\r\nUpgrade: h2c\r\nExpect: 100-continue\r\n\r\n",
+		"GET /a HTTP/1.1\r\n" + head + "X-Forwarded-For: 203.0.113.1\r\nx_forwarded_for: 203.0.113.1\r\nForwarded: for=x\r\nCowslip_Customer: x\r\nConnection: X-Forwarded-For, close\r\n\r\n",
 		"HEAD /a;b HTTP/1.1\n" + head + "X:\r\n y\r\n\r\n",
 		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\x00\x00\x00\x04\x00\x00\x00\x00\x00",
 	} {
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -52,6 +53,8 @@
 	peer, backend, callers func(http.Handler) http.Handler
 	// service holds the settings of the service.
 	service contract.Service
+	// trusted are the proxies that entries trust.
+	trusted []netip.Prefix
 	// limits are those of the callers' listener. Default: settings.Default().
 	limits settings.Limits
 	// slots of each backend server. Default: backendSlots.
@@ -103,7 +106,7 @@
 		srv := httptest.NewServer(o.backend(b.Handler()))
 		t.Cleanup(srv.Close)
 		h := home.New(home.Options{VM: vm})
-		e := entry.New(entry.Options{VM: vm, Snapshot: current.Load, Incarnation: uint64(i + 1), Leaving: h.Leaving, Memory: operation.NewMemory(vm, uint64(i+1), o.memory)})
+		e := entry.New(entry.Options{VM: vm, Snapshot: current.Load, Incarnation: uint64(i + 1), Leaving: h.Leaving, Memory: operation.NewMemory(vm, uint64(i+1), o.memory), TrustedProxies: o.trusted})
 		address, stop := serveHTTP2(t, o.peer(peerHandler(h, http.HandlerFunc(e.ServeOperation), http.NotFoundHandler())))
 		front := httptest.NewUnstartedServer(nil)
 		front.Config = callersServer(o.limits, o.callers(e.Handler()))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -38,6 +39,8 @@
 	Limiter Limiter
 	// Observer counts how requests end. Default: none.
 	Observer Observer
+	// TrustedProxies are the networks of proxies in front of the entry, whose X-Forwarded-For and X-Forwarded-Proto count.
+	TrustedProxies []netip.Prefix
 	// Seed draws the random choices of the balancer.
 	Seed uint64
 }
@@ -87,6 +90,7 @@
 	leaving     func() bool
 	limiter     Limiter
 	observer    Observer
+	trusted     []netip.Prefix
 
 	balancer  *balance.Balancer
 	budgets   *retry.Budgets
@@ -114,7 +118,7 @@
 		limiter: o.Limiter, observer: o.Observer, budgets: retry.New(),
 		balancer: balance.New(balance.Options{Locality: o.Locality, Random: rand.NewPCG(o.Seed, o.Seed), Now: time.Now()}),
 		vm:       o.VM, region: o.Locality.Region, snapshot: o.Snapshot, transport: o.Transport, incarnation: o.Incarnation, memory: o.Memory,
-		uploads: operation.NewUploads(uploadBudgetBytes), leaving: o.Leaving,
+		uploads: operation.NewUploads(uploadBudgetBytes), leaving: o.Leaving, trusted: o.TrustedProxies,
 	}
 }
 
@@ -142,6 +146,8 @@
 	service    *catalog.Service
 	repeatable bool
 	body       *upload
+	// origin is what the backend server is told about the caller's connection.
+	origin forward.Origin
 }
 
 func (e *Entry) serve(w http.ResponseWriter, r *http.Request) {
@@ -196,6 +202,7 @@
 		return nil, errkind.New(errkind.MethodNotAllowed, "the route "+c.route.PathPrefix+" of the contract of "+c.customer.Name+" does not allow "+r.Method)
 	}
 	c.repeatable = c.route.Repeatable(r.Method)
+	c.origin = forward.OriginOf(r, e.trusted)
 	c.body, err = newUpload(r, c.customer)
 	return c, err
 }
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -221,7 +221,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &call{id: r.Header.Get(forward.HeaderRequestID), customer: customer, route: route, service: service, body: body}, nil
+	return &call{
+		id: r.Header.Get(forward.HeaderRequestID), customer: customer, route: route, service: service, body: body,
+		origin: forward.ReceivedOrigin(r.Header),
+	}, nil
 }
 
 // operationKeys answers POST /.cowslip/operation-keys?path=PATH with a key for an at-most-once route.
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -73,8 +73,9 @@
 		Method: r.Method, URL: u, Host: r.Host, Header: http.Header{}, Proto: "HTTP/2.0", ProtoMajor: 2,
 	}).WithContext(ctx)
 	forward.CopyHeaders(out.Header, r.Header)
-	out.Header.Del("Authorization") // the API key is for the entry only
 	h := out.Header
+	h.Del("Authorization") // the API key is for the entry only
+	t.call.origin.Set(h)
 	if t.toOwner {
 		h.Set(forward.HeaderOperation, r.Header.Get(forward.HeaderIdempotencyKey))
 	} else {
--- a/internal/forward/body_test.go
+++ b/internal/forward/body_test.go
@@ -165,6 +165,7 @@
 	dst := http.Header{}
 	CopyHeaders(dst, http.Header{
 		"Cowslip-Customer":  {"other"},
+		"Cowslip_customer":  {"other"},
 		"Connection":        {"close, X-Local"},
 		"X-Local":           {"1"},
 		"Transfer-Encoding": {"chunked"},
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -55,11 +55,22 @@
 	return false
 }
 
+func isInternal(name string) bool { return strings.HasPrefix(withHyphens(name), internalPrefix) }
+
+// withHyphens returns the name with hyphens in place of underscores. Backend servers that pass headers on as CGI variables
+// (RFC 3875 section 4.1.18) cannot tell the two apart.
+func withHyphens(name string) string {
+	if !strings.Contains(name, "_") {
+		return name
+	}
+	return textproto.CanonicalMIMEHeaderKey(strings.ReplaceAll(name, "_", "-"))
+}
+
 // CopyHeaders adds to dst all end-to-end headers of src, except those of the system.
 func CopyHeaders(dst, src http.Header) {
 	options := connectionOptions(src)
 	for name, values := range src {
-		if isHopByHop(name) || options[name] || strings.HasPrefix(name, internalPrefix) {
+		if isHopByHop(name) || options[name] || isInternal(name) {
 			continue
 		}
 		if len(dst[name]) == 0 {
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -115,7 +115,11 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		forward.SetDeadline(out.Header, time.Until(deadline))
 	}
-	out.Header.Set(forward.HeaderRequestID, r.Header.Get(forward.HeaderRequestID))
+	for _, name := range []string{forward.HeaderRequestID, forward.HeaderCustomer} {
+		if value := r.Header.Get(name); value != "" {
+			out.Header.Set(name, value)
+		}
+	}
 	if out.Header.Get("User-Agent") == "" {
 		out.Header.Set("User-Agent", "") // an empty value keeps net/http from adding its own
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -72,7 +72,8 @@
 	c.checkListen(&s.Listen)
 	c.checkPlatform(&s.Platform)
 	c.checkSeedPeers(s)
-	c.checkPeerNetworks(s.PeerNetworks)
+	c.checkNetworks("peerNetworks", s.PeerNetworks)
+	c.checkNetworks("trustedProxies", s.TrustedProxies)
 	c.checkLimits(&s.Limits)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "logfmt", "json")
@@ -177,9 +178,9 @@
 	}
 }
 
-func (c *checker) checkPeerNetworks(networks []string) {
+func (c *checker) checkNetworks(field string, networks []string) {
 	for i, text := range networks {
-		path := fmt.Sprintf("peerNetworks[%d]", i)
+		path := fmt.Sprintf("%s[%d]", field, i)
 		network, err := netip.ParsePrefix(text)
 		switch {
 		case err != nil:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,8 +19,11 @@
 	SeedPeers []SeedPeer `yaml:"seedPeers"`
 	// PeerNetworks are networks in CIDR notation whose addresses may also use the peer listener. Default: none.
 	PeerNetworks []string `yaml:"peerNetworks"`
-	Limits       Limits   `yaml:"limits"`
-	Log          Log      `yaml:"log"`
+	// TrustedProxies are the networks, in CIDR notation, of proxies in front of the callers' listener. What they state in
+	// X-Forwarded-For and X-Forwarded-Proto reaches the backend servers. Default: none.
+	TrustedProxies []string `yaml:"trustedProxies"`
+	Limits         Limits   `yaml:"limits"`
+	Log            Log      `yaml:"log"`
 }
 
 // Listen holds the addresses that the daemon listens on, as host:port.
