Log why a try or a response broke

Cause: path_broken, home_unreachable and backend_broken carried their cause as far as the response to the caller, which holds the kind and a short text only, and no log line told more. Change: the entry logs the tries that it saw break, and the home the requests that its backend server broke, at warn, with request id, VM, backend server, kind and cause. A response that breaks after its header was passed on is logged too. What net/http quotes from the other side is cut off, since a body that is taken for a header stands there.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -83,7 +83,7 @@
 	d.platform = newPlatformClient(s.Platform)
 	d.peers = newPeerClients(&d.control)
 	d.sync = d.newRunner()
-	d.home = home.New(home.Options{VM: s.VM, Observer: d.modeChanged, Seed: d.incarnation})
+	d.home = home.New(home.Options{VM: s.VM, Observer: d.modeChanged, Log: log.Part("home"), Seed: d.incarnation})
 	plan := limits.Plan{Daemons: 1, RegionWeight: 1}
 	d.holder = limits.NewHolder(time.Now(), s.VM, plan)
 	d.shares = limits.NewUser(time.Now(), limits.Sender{VM: s.VM, Incarnation: d.incarnation}, plan)
@@ -92,7 +92,7 @@
 		VM: s.VM, Locality: catalog.Locality{DataCentre: s.DataCentre, Region: s.Region},
 		Snapshot: d.snapshot, Incarnation: d.incarnation, Memory: d.memory, Leaving: d.home.Leaving,
 		Limiter: &limiter{user: d.shares, ask: d.askShares}, Transport: forward.NewPeerTransport(nil),
-		Observer: requestMetrics{d.metrics}, Seed: d.incarnation, TrustedProxies: prefixes(s.TrustedProxies),
+		Observer: requestMetrics{d.metrics}, Seed: d.incarnation, Log: log.Part("entry"), TrustedProxies: prefixes(s.TrustedProxies),
 	})
 	d.guard = newPeerGuard(s, log.Part("peer"))
 	d.addGauges()
--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -57,7 +57,12 @@
 // serveHome returns the address of the peer listener of a home on vm0.
 func serveHome(t *testing.T, snapshot *catalog.Snapshot) string {
 	t.Helper()
-	h := home.New(home.Options{VM: "vm0"})
+	return serveHomeWith(t, snapshot, home.Options{VM: "vm0"})
+}
+
+func serveHomeWith(t *testing.T, snapshot *catalog.Snapshot, o home.Options) string {
+	t.Helper()
+	h := home.New(o)
 	h.Apply(snapshot)
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -16,6 +16,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/operation"
 	"github.com/cowsliprun/cowsliprun/internal/retry"
+	"github.com/cowsliprun/cowsliprun/internal/telemetry"
 	"github.com/go-chi/chi/v5"
 )
 
@@ -39,6 +40,8 @@
 	Limiter Limiter
 	// Observer counts how requests end. Default: none.
 	Observer Observer
+	// Log receives the causes of broken tries. Default: telemetry.Discard().
+	Log *telemetry.Logger
 	// TrustedProxies are the networks of proxies in front of the entry, whose X-Forwarded-For and X-Forwarded-Proto count.
 	TrustedProxies []netip.Prefix
 	// Seed draws the random choices of the balancer.
@@ -90,6 +93,7 @@
 	leaving     func() bool
 	limiter     Limiter
 	observer    Observer
+	log         *telemetry.Logger
 	trusted     []netip.Prefix
 
 	balancer  *balance.Balancer
@@ -114,11 +118,14 @@
 	if o.Observer == nil {
 		o.Observer = unobserved{}
 	}
+	if o.Log == nil {
+		o.Log = telemetry.Discard()
+	}
 	return &Entry{
 		limiter: o.Limiter, observer: o.Observer, budgets: retry.New(),
 		balancer: balance.New(balance.Options{Locality: o.Locality, Random: rand.NewPCG(o.Seed, o.Seed), Now: time.Now()}),
 		vm:       o.VM, region: o.Locality.Region, snapshot: o.Snapshot, transport: o.Transport, incarnation: o.Incarnation, memory: o.Memory,
-		uploads: operation.NewUploads(uploadBudgetBytes), leaving: o.Leaving, trusted: o.TrustedProxies,
+		uploads: operation.NewUploads(uploadBudgetBytes), leaving: o.Leaving, log: o.Log, trusted: o.TrustedProxies,
 	}
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -108,6 +108,7 @@
 	// The report comes before the cancellation, which would make a broken path look like a caller that left.
 	e.report(time.Now(), t, err, tryCtx)
 	if err != nil {
+		e.logFailure(tryCtx, t, err)
 		t.cancel()
 	}
 	return err
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -124,14 +124,18 @@
 	}
 	var last error
 	uncertain := false
-	for range ownerTries {
-		t := &try{call: c, address: owner.PeerAddress, vm: owner.ID, toOwner: true, ownerBody: body, entry: e, crossed: e.crossing(c.service.Name, owner)}
+	for number := 1; number <= ownerTries; number++ {
+		t := &try{
+			call: c, address: owner.PeerAddress, vm: owner.ID, toOwner: true, ownerBody: body, entry: e, number: number,
+			crossed: e.crossing(c.service.Name, owner),
+		}
 		last = t.do(ctx, e.transport, r)
 		if last == nil {
 			defer t.end()
 			t.pass(w)
 			return nil
 		}
+		e.logFailure(ctx, t, last)
 		kind := errkind.Of(last)
 		if kind != errkind.PathBroken && kind != errkind.HomeUnreachable {
 			break
--- a/internal/entry/owner.go
+++ b/internal/entry/owner.go
@@ -72,6 +72,7 @@
 	defer t.end()
 	response, err := recordResponse(t)
 	if err != nil {
+		e.logCut(t, err)
 		result = operation.Result{Outcome: errkind.Unknown, Kind: errkind.Of(err)}
 		return nil, false, err
 	}
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -242,6 +242,7 @@
 		return
 	}
 	if err := forward.Copy(w, t.body, nil); err != nil {
+		t.entry.logCut(t, err)
 		panic(http.ErrAbortHandler)
 	}
 }
--- /dev/null
+++ b/internal/forward/cause_test.go
@@ -0,0 +1,60 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+)
+
+// Guards against a log line with a piece of a body, which net/http quotes when it takes it for a header, and against one that
+// does not tell the cause.
+func TestCauseQuotesNothingOfTheOtherSide(t *testing.T) {
+	const secret = "S3CRET"
+	for response, want := range map[string]string{
+		secret + "-of-a-body\r\n\r\n":                                                    "malformed HTTP response",
+		"HTTP/1.1 " + secret + " x\r\n\r\n":                                              "malformed HTTP status code",
+		"HTTP/1.1 200 OK\r\n" + secret + " without colon\r\n\r\n":                        "malformed header",
+		"HTTP/1.1 200 OK\r\n " + secret + ": 1\r\n\r\n":                                  "malformed header",
+		"HTTP/1.1 200 OK\r\nContent-Length: " + secret + "\r\n\r\n":                      "bad Content-Length",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + secret + "\r\n\r\n":                   "unsupported transfer encoding",
+		"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: " + secret + "\r\n\r\n": "Content-Length",
+		"": "EOF",
+	} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				io.WriteString(conn, response) //nolint:errcheck // the test fails without the response
+			}
+		}()
+		r, err := http.NewRequest("POST", "http://"+listener.Addr().String()+"/stock?token="+secret, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := NewBackendTransport().RoundTrip(r)
+		if err == nil {
+			resp.Body.Close()
+			t.Fatalf("%q was taken for a response", response)
+		}
+		got := Cause(errkind.Wrap(errkind.BackendBroken, err, "for the caller"))
+		if strings.Contains(got, secret) || !strings.Contains(got, want) {
+			t.Errorf("%q is logged as %q, want %q", response, got, want)
+		}
+		listener.Close()
+	}
+	if got := Cause(errkind.New(errkind.PathBroken, "the response belongs to another request")); got != "the response belongs to another request" {
+		t.Errorf("an error without a cause is logged as %q", got)
+	}
+}
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -15,6 +15,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/reservation"
+	"github.com/cowsliprun/cowsliprun/internal/telemetry"
 )
 
 // A request waits for a slot at most for the smaller of maxQueueWait and this share of its remaining time.
@@ -37,6 +38,8 @@
 	Transport http.RoundTripper
 	// Observer is told of changes of mode. It may be nil.
 	Observer Observer
+	// Log receives the causes of broken requests. Default: telemetry.Discard().
+	Log *telemetry.Logger
 	// Seed draws the siblings that backend servers are compared with.
 	Seed uint64
 }
@@ -46,6 +49,7 @@
 	vm        string
 	transport http.RoundTripper
 	observer  Observer
+	log       *telemetry.Logger
 	// draining is set at the start of a drain, listed while the platform lists the VM as leaving. With either, nothing is granted
 	// any more and entries are told to go elsewhere.
 	draining, listed atomic.Bool
@@ -72,8 +76,11 @@
 	if o.Observer == nil {
 		o.Observer = func(string, string, ejection.Mode, ejection.Mode, string) {}
 	}
+	if o.Log == nil {
+		o.Log = telemetry.Discard()
+	}
 	return &Home{
-		vm: o.VM, transport: o.Transport, observer: o.Observer, members: map[string]*member{},
+		vm: o.VM, transport: o.Transport, observer: o.Observer, log: o.Log, members: map[string]*member{},
 		reservations: reservation.New(o.VM, time.Now()), comparer: newComparer(o.Seed),
 	}
 }
@@ -182,14 +189,15 @@
 	err := x.send(ctx, r)
 	if err != nil {
 		m.observe(time.Now(), x, err)
+		h.logFailure(ctx, m, r, err)
 		h.refuse(w, m, err)
 		return
 	}
 	defer x.response.Body.Close()
-	h.respond(ctx, w, m, x)
+	h.respond(ctx, w, r, m, x)
 }
 
-func (h *Home) respond(ctx context.Context, w http.ResponseWriter, m *member, x *exchange) {
+func (h *Home) respond(ctx context.Context, w http.ResponseWriter, r *http.Request, m *member, x *exchange) {
 	header := w.Header()
 	forward.CopyHeaders(header, x.response.Header)
 	header.Set(forward.HeaderOutcome, errkind.Answered.String())
@@ -200,6 +208,7 @@
 	err := x.copyBody(ctx, w)
 	m.observe(time.Now(), x, err)
 	if err != nil {
+		h.logFailure(ctx, m, r, err)
 		// The entry must see a broken stream, never a clean end.
 		panic(http.ErrAbortHandler)
 	}
