Write what net/http reports on the standard logger as limited log lines

Cause: a backend server that sends bytes beyond the end of its response made net/http write all of them to standard error, as a plain line and without a limit. Those bytes may be a body, and operators parse that stream. Ruled out: a transport option, since net/http has none for its clients.

--- a/internal/daemon/errorlog.go
+++ b/internal/daemon/errorlog.go
@@ -23,3 +23,18 @@
 	w.log.Warn("The HTTP server reported an error.", "listener", w.server, "err", strings.TrimSpace(string(p)))
 	return len(p), nil
 }
+
+// redirectStandardLog makes what net/http clients write to the standard logger lines of the log: responses that nobody asked
+// for, with all bytes of them. The quoted part is left out, because it may be a body.
+func redirectStandardLog(log *telemetry.Logger) {
+	stdlog.SetFlags(0)
+	stdlog.SetOutput(standardLogWriter{log})
+}
+
+type standardLogWriter struct{ log *telemetry.Logger }
+
+func (w standardLogWriter) Write(p []byte) (int, error) {
+	text, _, _ := strings.Cut(string(p), `"`)
+	w.log.Warn("A library reported an error.", "err", strings.TrimSpace(text))
+	return len(p), nil
+}
--- a/internal/daemon/errorlog_test.go
+++ b/internal/daemon/errorlog_test.go
@@ -1,15 +1,21 @@
 package daemon
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
+	"io"
+	stdlog "log"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/settings"
 	"github.com/cowsliprun/cowsliprun/internal/telemetry"
 )
@@ -88,3 +94,50 @@
 		t.Errorf("log: %s", out.String())
 	}
 }
+
+// Guards against a body in the log, and against lines without a limit: net/http writes the bytes that a backend server sends
+// beyond the end of its response to the standard logger.
+func TestStandardLogTellsNoBodies(t *testing.T) {
+	var out lockedBuffer
+	log, err := telemetry.NewLogger(&out, "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	flags, output := stdlog.Flags(), stdlog.Writer()
+	defer func() { stdlog.SetFlags(flags); stdlog.SetOutput(output) }()
+	redirectStandardLog(log.Part("daemon"))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokSECRET") //nolint:errcheck // the test fails without the response
+			}
+			conn.Close()
+		}
+	}()
+	for range 20 {
+		// A connection for each request: on a reused one the surplus may be read as the next response.
+		transport := forward.NewBackendTransport()
+		defer transport.CloseIdleConnections()
+		resp, err := (&http.Client{Transport: transport}).Get("http://" + listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body) //nolint:errcheck // the length is known to be right
+		resp.Body.Close()
+	}
+	for i := 0; !strings.Contains(out.String(), "Unsolicited response") && i < 1000; i++ {
+		time.Sleep(10 * time.Millisecond) // the transport reads on after the response
+	}
+	if got := out.String(); !strings.Contains(got, "daemon: A library reported an error.") || strings.Contains(got, "SECRET") || strings.Count(got, "\n") > 5 {
+		t.Errorf("log: %s", got)
+	}
+}
--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -71,6 +71,7 @@
 		fmt.Fprintln(stderr, "cowsliprund:", err)
 		return exitFailed
 	}
+	redirectStandardLog(d.log.Part("daemon"))
 	if err := d.Run(ctx); err != nil {
 		fmt.Fprintln(stderr, "cowsliprund:", err)
 		return exitFailed
