Give a contested API key or backend server one holder at all daemons

Cause: of two documents that list the same API key or backend server, the one that reached a daemon first held it. Daemons that started later, or got values in another order, decided otherwise, for as long as both documents existed. Change: the earliest claim by the store's revision of the value holds the identifier, then the first by name. The revision of a value rises with each of its documents, so a daemon that finds a contested identifier adds the claims to the residues of both values, which already travel between daemons and to those that start. The audit trail and the log now report each contested identifier and each change of its holder; before, only the status did. Ruled out: the name or the generation, because a new document could take a key from a contract in force; the present revision, because the key would move with each unrelated change; refusing the whole document, because its other keys and routes are good. Limits: a contract that gives a key up and lists it again may count from its first listing, since a daemon may miss the version in between. When all daemons stop at once, only the present revisions count. Checked: a property test has daemons with any order of arrival and restarted ones; they agree, and on the contract that had the key first when no contract gave it up. The test that the first claim holds now has revisions and checks a third one too; before it had none and relied on the order.

--- a/internal/catalog/build.go
+++ b/internal/catalog/build.go
@@ -2,10 +2,11 @@
 
 import (
 	"cmp"
-	"encoding/hex"
 	"maps"
+	"math"
 	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 )
@@ -16,6 +17,8 @@
 	Value     string
 	Revision  uint64
 	Documents contract.Documents
+	// Claims tell since when documents of the value list contested identifiers, as far as that is before Revision.
+	Claims []contract.Claim
 }
 
 // Build compiles checked documents. References to unknown data centres or VMs leave the locality empty, so that a value
@@ -53,6 +56,38 @@
 	servicesOwn  bool
 	localityDiff bool
 	shadowed     bool
+	// contested are the identifiers put since the last call of Contested that another document lists too.
+	contestedKeys     []KeyDigest
+	contestedBackends []string
+}
+
+// claims tell since when the documents of one value list identifiers.
+type claims struct {
+	revision uint64
+	earlier  map[claimed]uint64
+}
+
+type claimed struct{ kind, document, id string }
+
+func claimsOf(src Source) claims {
+	c := claims{revision: src.Revision, earlier: map[claimed]uint64{}}
+	for _, e := range src.Claims {
+		c.earlier[claimed{e.Ref.Kind, e.Ref.Name, e.ID}] = e.Since
+	}
+	return c
+}
+
+func (c *claims) since(kind, document, id string) uint64 {
+	if earlier, ok := c.earlier[claimed{kind, document, id}]; ok {
+		return min(earlier, c.revision)
+	}
+	return c.revision
+}
+
+func byName(a, b *Customer) int { return strings.Compare(a.Name, b.Name) }
+
+func byService(a, b *BackendServer) int {
+	return cmp.Or(strings.Compare(a.ID, b.ID), strings.Compare(a.Service, b.Service))
 }
 
 // Edit returns an Edit that starts from the snapshot.
@@ -74,27 +109,32 @@
 	}
 	e.parts[src.Value] = next
 	e.touched[src.Value] = true
-	e.replaceCustomers(old.customers, next.customers)
+	claims := claimsOf(src)
+	e.replaceCustomers(old.customers, next.customers, &claims)
 	if len(old.services) > 0 || len(next.services) > 0 {
-		e.replaceServices(old.services, next.services)
+		e.replaceServices(old.services, next.services, &claims)
 	}
 	if !slices.Equal(old.vms, next.vms) || !maps.Equal(old.regions, next.regions) {
 		e.localityDiff = true
 	}
 }
 
-func (e *Edit) replaceCustomers(old, next []Customer) {
+func (e *Edit) replaceCustomers(old, next []Customer, claims *claims) {
 	before := make(map[string]*Customer, len(old))
 	for i := range old {
 		before[old[i].Name] = &old[i]
 	}
 	for i := range next {
 		c := &next[i]
-		sameName := func(other *Customer) bool { return other.Name == c.Name }
-		e.customers.put(hashOf(c.Name), c, sameName)
+		e.customers.put(hashOf(c.Name), 0, c, byName)
 		for k := range c.keys {
-			if e.keys.put(c.keys[k].hash(), c, sameName) > 1 {
+			since := claims.revision
+			if len(claims.earlier) > 0 {
+				since = claims.since(contract.KindContract, c.Name, c.keys[k].Hex())
+			}
+			if e.keys.put(c.keys[k].hash(), since, c, byName) > 1 {
 				e.shadowed = true
+				e.contestedKeys = append(e.contestedKeys, c.keys[k])
 			}
 		}
 		if previous := before[c.Name]; previous != nil {
@@ -127,14 +167,16 @@
 	}
 }
 
-func (e *Edit) replaceServices(old, next []*Service) {
+func (e *Edit) replaceServices(old, next []*Service, claims *claims) {
 	e.ownServices()
 	present := map[string]bool{}
 	for _, svc := range next {
 		e.services[svc.Name] = svc
 		for _, b := range svc.BackendServers {
 			present[b.ID+" "+b.Service] = true
-			e.putBackend(b)
+			if e.putBackend(b, claims.since(contract.KindService, b.Service, b.ID)) {
+				e.contestedBackends = append(e.contestedBackends, b.ID)
+			}
 		}
 	}
 	for _, svc := range old {
@@ -153,10 +195,33 @@
 	return other.ID == b.ID && other.Service == b.Service
 }
 
-func (e *Edit) putBackend(b *BackendServer) {
-	if e.backends.put(hashOf(b.ID), b, b.sameAs) > 1 {
-		e.shadowed = true
+// putBackend reports whether another service lists the backend server too.
+func (e *Edit) putBackend(b *BackendServer, since uint64) (contested bool) {
+	contested = e.backends.put(hashOf(b.ID), since, b, byService) > 1
+	e.shadowed = e.shadowed || contested
+	return contested
+}
+
+// Contested returns all claims on the identifiers that the values put since the last call share with another document.
+func (e *Edit) Contested() []contract.Claim {
+	var out []contract.Claim
+	for i := range e.contestedKeys {
+		digest := &e.contestedKeys[i]
+		for _, entry := range e.keys.slot(digest.hash()) {
+			if entry.value.hasKey(digest) {
+				out = append(out, contract.Claim{Ref: contract.Ref{Kind: contract.KindContract, Name: entry.value.Name}, ID: digest.Hex(), Since: entry.rank})
+			}
+		}
+	}
+	for _, id := range e.contestedBackends {
+		for _, entry := range e.backends.slot(hashOf(id)) {
+			if entry.value.ID == id {
+				out = append(out, contract.Claim{Ref: contract.Ref{Kind: contract.KindService, Name: entry.value.Service}, ID: id, Since: entry.rank})
+			}
+		}
 	}
+	e.contestedKeys, e.contestedBackends = nil, nil
+	return contract.JoinClaims(out)
 }
 
 // Snapshot returns the new snapshot. The Edit must not be used afterwards.
@@ -236,7 +301,7 @@
 		backend := *b
 		backend.VM = vmOf(b, vms)
 		moved.BackendServers[i] = &backend
-		e.putBackend(&backend)
+		e.putBackend(&backend, math.MaxUint64) // the entry replaced keeps its rank
 	}
 	e.ownServices()
 	e.services[moved.Name] = &moved
@@ -261,7 +326,7 @@
 			c := &p.customers[i]
 			for k := range c.keys {
 				if holder := s.CustomerByKey(c.keys[k]); holder != nil && holder.Name != c.Name {
-					out = append(out, Conflict{ConflictAPIKey, hex.EncodeToString(c.keys[k][:]), holder.Name, c.Name})
+					out = append(out, Conflict{ConflictAPIKey, c.keys[k].Hex(), holder.Name, c.Name})
 				}
 			}
 		}
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"reflect"
 	"slices"
 	"testing"
@@ -100,15 +101,16 @@
 	}
 }
 
-// Guards against an API key or a backend server that changes its owner because another document claims it too.
+// Guards against an API key or a backend server that changes its owner because another document claims it too, or because the
+// value of its owner gets a higher revision.
 func TestClaimedTwiceStaysWithTheFirst(t *testing.T) {
-	source := func(value, customer, service string) Source {
-		return Source{Value: value, Documents: contract.Documents{
+	source := func(value string, revision uint64, customer, service string) Source {
+		return Source{Value: value, Revision: revision, Documents: contract.Documents{
 			Contracts: []contract.Contract{{Customer: customer, APIKeySHA256: []string{digestHex("k")}}},
 			Services:  []contract.Service{{Service: service, BackendServers: []contract.BackendServer{{ID: "b"}}}},
 		}}
 	}
-	s := Build([]Source{source("1", "z", "z")}).Replace(source("2", "a", "a")).Replace(source("1", "z", "z"))
+	s := Build([]Source{source("1", 1, "z", "z")}).Replace(source("2", 2, "a", "a")).Replace(source("1", 3, "z", "z"))
 	if s.CustomerByKey(DigestOf("k")).Name != "z" || s.BackendServer("b").Service != "z" {
 		t.Errorf("owners are %v and %v", s.CustomerByKey(DigestOf("k")), s.BackendServer("b"))
 	}
@@ -122,6 +124,47 @@
 	}
 }
 
+// Guards against daemons that disagree on the owner of an API key or a backend server because values reached them in different
+// orders. A claim counts from the revision that its source tells, and the name decides between claims of one revision.
+func TestOwnerDoesNotDependOnTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c", "d"}
+		sources := make([]Source, len(names))
+		want := contract.Claim{Since: math.MaxUint64}
+		for i, name := range names {
+			src := Source{Value: fmt.Sprint(i), Revision: rapid.Uint64Range(1, 5).Draw(t, "revision"), Documents: contract.Documents{
+				Contracts: []contract.Contract{{Customer: name, APIKeySHA256: []string{digestHex("k"), digestHex(name)}}},
+				Services:  []contract.Service{{Service: name, BackendServers: []contract.BackendServer{{ID: "b"}, {ID: "own-" + name}}}},
+			}}
+			since := src.Revision
+			if rapid.Bool().Draw(t, "remembered") {
+				since = rapid.Uint64Range(1, src.Revision).Draw(t, "since")
+				src.Claims = []contract.Claim{
+					{Ref: contract.Ref{Kind: contract.KindContract, Name: name}, ID: digestHex("k"), Since: since},
+					{Ref: contract.Ref{Kind: contract.KindService, Name: name}, ID: "b", Since: since},
+				}
+			}
+			sources[i] = src
+			if c := (contract.Claim{Ref: contract.Ref{Name: name}, Since: since}); c.Precedes(want) {
+				want = c
+			}
+		}
+		s := Build(nil)
+		for _, src := range rapid.Permutation(sources).Draw(t, "order") {
+			s = s.Replace(src)
+		}
+		again := rapid.SampledFrom(sources).Draw(t, "again")
+		again.Revision, again.Claims = 9, nil
+		s = s.Replace(again)
+		if s.CustomerByKey(DigestOf("k")).Name != want.Ref.Name || s.BackendServer("b").Service != want.Ref.Name {
+			t.Fatalf("owners are %v and %v, want %s", s.CustomerByKey(DigestOf("k")), s.BackendServer("b"), want.Ref.Name)
+		}
+		if len(s.Conflicts()) != 2*(len(names)-1) {
+			t.Fatalf("conflicts %v", s.Conflicts())
+		}
+	})
+}
+
 // Guards against a prefix that matches part of a segment, or a shorter prefix that hides a longer one.
 func TestRouteMatchesWholeSegments(t *testing.T) {
 	s := Build([]Source{{Documents: contract.Documents{Contracts: []contract.Contract{{Customer: "c", Routes: []contract.Route{
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -18,7 +18,8 @@
 	conflicts []Conflict
 }
 
-// Conflict is an identifier that two documents claim. The document that was in force first keeps it.
+// Conflict is an identifier that two documents claim. The one that claimed it at the lowest revision of the store holds it, and
+// the first by name at an equal one.
 type Conflict struct {
 	// What is ConflictAPIKey or ConflictBackendServer.
 	What string `json:"what"`
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -1,6 +1,9 @@
 package catalog
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // A table spreads its entries over tableSize pages of tableSize slots by the low bits of the hash. With 37,000 entries a
 // slot holds about nine, so a look-up compares few hashes and a change copies one page and one slot.
@@ -11,7 +14,7 @@
 )
 
 // table is an immutable multimap from a hash to pointers. Versions share the pages that did not change. Several entries of
-// one hash stay in the order in which they were put.
+// one hash are in the order of their ranks, and by name at an equal rank, whatever the order in which they were put.
 type table[V any] struct {
 	pages [tableSize]*page[V]
 	count int
@@ -21,6 +24,7 @@
 
 type entry[V any] struct {
 	hash  uint64
+	rank  uint64
 	value *V
 }
 
@@ -76,16 +80,23 @@
 	return slot
 }
 
-// put replaces the entry of the hash that same accepts, in its place, or appends one. It returns the number of entries of
-// the hash.
-func (e *tableEdit[V]) put(hash uint64, value *V, same func(*V) bool) (entries int) {
+// put replaces the entry of the hash that is equal by order, or adds one. An entry that is replaced keeps its rank unless
+// the new one is lower. It returns the number of entries of the hash.
+func (e *tableEdit[V]) put(hash, rank uint64, value *V, order func(a, b *V) int) (entries int) {
 	slot := e.own(hash)
-	if i := indexOf(*slot, hash, same); i >= 0 {
-		(*slot)[i].value = value
-	} else {
-		*slot = append(*slot, entry[V]{hash, value})
-		e.count++
+	if i := indexOf(*slot, hash, func(other *V) bool { return order(value, other) == 0 }); i >= 0 {
+		rank = min(rank, (*slot)[i].rank)
+		*slot = slices.Delete(*slot, i, i+1)
+		e.count--
+	}
+	at := slices.IndexFunc(*slot, func(other entry[V]) bool {
+		return other.hash == hash && cmp.Or(cmp.Compare(rank, other.rank), order(value, other.value)) < 0
+	})
+	if at < 0 {
+		at = len(*slot)
 	}
+	*slot = slices.Insert(*slot, at, entry[V]{hash, rank, value})
+	e.count++
 	for _, other := range *slot {
 		if other.hash == hash {
 			entries++
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/hex"
 	"math"
 	"slices"
 	"strings"
@@ -28,6 +29,9 @@
 // DigestOf returns the digest of an API key.
 func DigestOf(apiKey string) KeyDigest { return sha256.Sum256([]byte(apiKey)) }
 
+// Hex returns the digest in hex, as contracts list it.
+func (d KeyDigest) Hex() string { return hex.EncodeToString(d[:]) }
+
 // Locality says where a VM is.
 type Locality struct {
 	DataCentre string
--- /dev/null
+++ b/internal/configsync/own_test.go
@@ -0,0 +1,44 @@
+package configsync
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/membership"
+)
+
+// Guards against a claim that a daemon remembers for itself only: it must be merged into its value, once, and offered to peers.
+func TestOwnResidueIsMergedAndSpread(t *testing.T) {
+	now := time.Unix(1000, 0)
+	members := membership.New(membership.Config{Self: membership.VM{ID: "vm1", DataCentre: "dc1", Region: "r1", Address: "127.0.0.1:1"}})
+	s := NewSyncer(now, SyncerConfig{Members: members, Store: NewStore(), Random: rand.New(rand.NewPCG(1, 1))})
+	s.finishStart()
+	const name = "contracts/001"
+	if _, _, err := s.store.Put(name, 5, Compress([]byte(`{"documents":[]}`))); err != nil {
+		t.Fatal(err)
+	}
+	v, _ := s.store.Get(name)
+	s.Settle(now, v, nil, nil, nil)
+	residue, err := contract.EncodeResidue(contract.Residue{Claims: []contract.Claim{{Ref: contract.Ref{Kind: contract.KindContract, Name: "grocer"}, ID: "k", Since: 3}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.RememberOwn(now, name, residue)
+	if list := s.ToApply(); len(list) != 1 || list[0].Name != name {
+		t.Fatalf("to apply: %v", list)
+	}
+	memories := s.Memories(name)
+	if len(memories) != 1 || memories[0].Source != "vm1" || !slices.Equal(memories[0].Content, residue) {
+		t.Fatalf("memories: %+v", memories)
+	}
+	if !s.Settle(now, v, memories, residue, nil) {
+		t.Error("the residue is not offered to peers")
+	}
+	s.RememberOwn(now, name, residue)
+	if list := s.ToApply(); len(list) != 0 {
+		t.Errorf("a residue that was merged is merged again: %v", list)
+	}
+}
--- a/internal/configsync/residue.go
+++ b/internal/configsync/residue.go
@@ -93,6 +93,11 @@
 	return added
 }
 
+// RememberOwn keeps a residue of this daemon itself until it is merged like that of a peer.
+func (s *Syncer) RememberOwn(now time.Time, name string, residue []byte) {
+	s.remember(Event{At: now, Name: name, Source: s.cfg.Members.Self().ID}, Compress(residue), false)
+}
+
 // remember keeps a memory until it is merged. It returns false when there is nothing new in it.
 func (s *Syncer) remember(event Event, data []byte, raw bool) bool {
 	name := event.Name
--- a/internal/configsync/runner.go
+++ b/internal/configsync/runner.go
@@ -160,6 +160,14 @@
 	r.wake(stored)
 }
 
+// Remember merges a residue of this daemon itself into a value, and spreads the result to peers. Apply may call it.
+func (r *Runner) Remember(name string, residue []byte) {
+	r.mu.Lock()
+	r.syncer.RememberOwn(time.Now(), name, residue)
+	r.mu.Unlock()
+	r.applyWork.Offer(struct{}{})
+}
+
 func (r *Runner) wake(stored int) {
 	if stored > 0 {
 		r.applyWork.Offer(struct{}{})
--- a/internal/contract/merge.go
+++ b/internal/contract/merge.go
@@ -216,6 +216,8 @@
 	// Withheld are documents of the value that are not in force.
 	Withheld []Ref
 	Deleted  []Deleted
+	// Claims are those of documents in force on contested identifiers. The caller keeps them: InForce does not hold them.
+	Claims []Claim
 	// Raw is true when Kept is the content of a value. Its documents rank below accepted ones of the same generation.
 	Raw bool
 }
--- a/internal/contract/residue.go
+++ b/internal/contract/residue.go
@@ -17,15 +17,17 @@
 type residueJSON struct {
 	Documents []jsontext.Value `json:"documents,omitempty"`
 	Deleted   []Deleted        `json:"deleted,omitempty"`
+	Claims    []Claim          `json:"claims,omitempty"`
 }
 
-// EncodeResidue returns the documents kept and the deletions in canonical form, or nil when there are none. Documents that
+// EncodeResidue returns the documents kept, the deletions and the claims in canonical form, or nil when there are none. Documents that
 // do not fit into MaxResidueBytes are left out in the order of their names, so that equal residues have equal encodings.
 func EncodeResidue(r Residue) ([]byte, error) {
-	if len(r.Kept.All()) == 0 && len(r.Deleted) == 0 {
+	if len(r.Kept.All()) == 0 && len(r.Deleted) == 0 && len(r.Claims) == 0 {
 		return nil, nil
 	}
-	raw := residueJSON{Deleted: boundDeleted(slices.Clone(r.Deleted))}
+	claims := JoinClaims(r.Claims)
+	raw := residueJSON{Deleted: boundDeleted(slices.Clone(r.Deleted)), Claims: claims[:min(len(claims), MaxClaims)]}
 	data, err := json.Marshal(raw, json.Deterministic(true))
 	if err != nil {
 		return nil, eris.Wrap(err, "residue")
@@ -69,17 +71,27 @@
 		out.Deleted = append(out.Deleted, d)
 	}
 	out.Deleted = boundDeleted(out.Deleted)
+	for _, claim := range raw.Claims {
+		if claim.Since == 0 || claim.ID == "" || claim.Ref.Name == "" || newDocument(claim.Ref.Kind) == nil || ValueOf(claim.Ref) != name {
+			value.Bad = append(value.Bad, BadDocument{Ref: claim.Ref, Position: -1, Problem: "claim without identifier or revision, or of another value"})
+			continue
+		}
+		out.Claims = append(out.Claims, claim)
+	}
+	out.Claims = JoinClaims(out.Claims)
 	return out, value.Bad, nil
 }
 
 // JoinResidues returns what two daemons remember together. Per document the highest generation wins. At an equal generation
 // a deletion wins over a document, and among different documents the one with the higher XXH64 of its encoding. The
-// result does not depend on the order or the number of joins. Withheld is left out: Recall derives it from the value.
+// result does not depend on the order or the number of joins. The earliest claim of a document on an identifier is kept. Withheld is left out: Recall derives it from the value.
 func JoinResidues(a, b Residue) Residue {
 	m := memory{entries: map[Ref]remembered{}}
 	m.add(a)
 	m.add(b)
-	return m.residue()
+	out := m.residue()
+	out.Claims = JoinClaims(a.Claims, b.Claims)
+	return out
 }
 
 // remembered is the memory of one document: its content, or its deletion when doc is nil.
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -35,7 +36,10 @@
 	d.auditRefused(u.Name, result.Refused)
 	d.auditChanges(u.Name, u.Revision, result.Changes)
 	d.auditFindings(u.Name, u.Revision, result.Findings)
-	if err == nil || len(result.Changes) > 0 {
+	for value, residue := range result.Claims {
+		d.sync.Remember(value, residue)
+	}
+	if err == nil || len(result.Changes) > 0 || len(memories) > 0 {
 		d.wakePublish()
 	}
 	return result.Residue, err
@@ -50,6 +54,7 @@
 
 // publish puts applied values in force, at most once per publishDelay.
 func (d *Daemon) publish(ctx context.Context) {
+	var conflicts []catalog.Conflict
 	for {
 		select {
 		case <-ctx.Done():
@@ -68,6 +73,8 @@
 		d.guard.update(snapshot)
 		d.sync.SetDirectory(directoryOf(snapshot))
 		d.updatePlan(snapshot)
+		d.auditConflicts(conflicts, snapshot.Conflicts())
+		conflicts = snapshot.Conflicts()
 		if startOver {
 			d.ready.Store(true)
 		}
@@ -236,3 +243,15 @@
 		d.log.Part("config").Warn("A document was not taken.", "document", f.Ref, "value", name, "reason", reason)
 	}
 }
+
+// auditConflicts reports the claims of documents that were not there before, among them those whose holder changed.
+func (d *Daemon) auditConflicts(before, now []catalog.Conflict) {
+	for _, c := range now {
+		if slices.Contains(before, c) {
+			continue
+		}
+		reason := "held by " + c.InForce + ", also listed by " + c.Refused
+		d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration: " + string(configsync.EventConflict), Subject: c.What + " " + c.ID, Reason: reason})
+		d.log.Part("config").Warn("Two documents list the same identifier.", c.What, c.ID, "held_by", c.InForce, "refused", c.Refused)
+	}
+}
--- a/internal/inforce/book.go
+++ b/internal/inforce/book.go
@@ -50,6 +50,9 @@
 	Refused []RefusedMemory
 	// Residue is what a peer needs besides the value to have the same in force, or nil when the value is enough.
 	Residue []byte
+	// Claims are residues, by name of the value, that the caller must apply as memories of this daemon: since when documents
+	// in force list identifiers that turned out to be contested.
+	Claims map[string][]byte
 }
 
 // New returns a book with no configuration. Snapshot returns nil until the first call of Publish.
@@ -79,7 +82,9 @@
 	}
 	after, findings := contract.Recall(name, before, revision, value, contents(residues)...)
 	if after.Revision == before.Revision && len(residues) == 0 {
-		residue, err := contract.EncodeResidue(after.Residue(value))
+		left := after.Residue(value)
+		left.Claims = b.values[name].residue.Claims
+		residue, err := contract.EncodeResidue(left)
 		return Result{Findings: findings, Refused: refused, Residue: residue}, err
 	}
 	plain, _ := contract.Merge(name, before, revision, value)
@@ -96,13 +101,15 @@
 		return Result{}, err
 	}
 	h := held{revision: after.Revision, content: packed, residue: after.Residue(value)}
+	h.residue.Claims = contract.ClaimsOf(after.Documents, b.claims(name, residues))
 	residue, err := contract.EncodeResidue(h.residue)
 	if err != nil {
 		return Result{}, err
 	}
 	b.values[name] = h
 	b.put(name, after)
-	return Result{Changes: changes(before.Documents, after.Documents, value, residues), Residue: residue}, nil
+	claims, err := b.newClaims()
+	return Result{Changes: changes(before.Documents, after.Documents, value, residues), Residue: residue, Claims: claims}, err
 }
 
 func (b *Book) put(name string, after contract.InForce) {
@@ -113,7 +120,7 @@
 		}
 		b.edit = base.Edit()
 	}
-	b.edit.Put(catalog.Source{Value: name, Revision: after.Revision, Documents: after.Documents})
+	b.edit.Put(catalog.Source{Value: name, Revision: after.Revision, Documents: after.Documents, Claims: b.values[name].residue.Claims})
 }
 
 // Publish puts all applied values in force and returns the snapshot.
@@ -212,9 +219,14 @@
 	return list
 }
 
+// writers are kept, because a new one takes 800 KB of memory.
+var writers = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
+
 func compress(content []byte) ([]byte, error) {
 	var out bytes.Buffer
-	w := gzip.NewWriter(&out)
+	w, _ := writers.Get().(*gzip.Writer)
+	defer writers.Put(w)
+	w.Reset(&out)
 	if _, err := w.Write(content); err != nil {
 		return nil, err
 	}
--- a/internal/inforce/memory.go
+++ b/internal/inforce/memory.go
@@ -74,7 +74,9 @@
 		}
 		result.Findings = b.note(name, append(slices.Clone(b.findings[name]), b.recalled(name, revision, value, before, after, residues)...))
 	}
-	result.Residue, err = contract.EncodeResidue(after.Residue(contract.Value{}))
+	left := after.Residue(contract.Value{})
+	left.Claims = b.values[name].residue.Claims
+	result.Residue, err = contract.EncodeResidue(left)
 	return result, err
 }
 
