--- a/internal/configsync/own_test.go
+++ b/internal/configsync/own_test.go
@@ -22,7 +22,7 @@
 	}
 	v, _ := s.store.Get(name)
 	s.Settle(now, v, nil, nil, nil)
-	residue, err := contract.EncodeResidue(contract.Residue{Claims: []contract.Claim{{Ref: contract.Ref{Kind: contract.KindContract, Name: "grocer"}, ID: "k", Since: 3}}})
+	residue, _, err := contract.EncodeResidue(contract.Residue{Claims: []contract.Claim{{Ref: contract.Ref{Kind: contract.KindContract, Name: "grocer"}, ID: "k", Since: 3}}})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/configsync/residue_bench_test.go
+++ b/internal/configsync/residue_bench_test.go
@@ -30,7 +30,7 @@
 
 func encoded(tb testing.TB, r contract.Residue) []byte {
 	tb.Helper()
-	data, err := contract.EncodeResidue(r)
+	data, _, err := contract.EncodeResidue(r)
 	if err != nil {
 		tb.Fatal(err)
 	}
--- a/internal/contract/residue.go
+++ b/internal/contract/residue.go
@@ -20,31 +20,45 @@
 	Claims    []Claim          `json:"claims,omitempty"`
 }
 
-// EncodeResidue returns the documents kept, the deletions and the claims in canonical form, or nil when there are none. Documents that
-// do not fit into MaxResidueBytes are left out in the order of their names, so that equal residues have equal encodings.
-func EncodeResidue(r Residue) ([]byte, error) {
-	if len(r.Kept.All()) == 0 && len(r.Deleted) == 0 && len(r.Claims) == 0 {
-		return nil, nil
+// Omitted tells what a residue has no room for. It stays in force where it is, and does not travel.
+type Omitted struct {
+	Documents []Ref
+	Claims    []Claim
+}
+
+// EncodeResidue returns the documents kept, the deletions and the claims in canonical form, or nil when there are none. Claims
+// beyond MaxClaims and documents that do not fit into MaxResidueBytes are left out in the order of their names, so that equal
+// residues have equal encodings.
+func EncodeResidue(r Residue) ([]byte, Omitted, error) {
+	var omitted Omitted
+	kept := r.Kept.All()
+	if len(kept) == 0 && len(r.Deleted) == 0 && len(r.Claims) == 0 {
+		return nil, omitted, nil
 	}
 	claims := JoinClaims(r.Claims)
-	raw := residueJSON{Deleted: boundDeleted(slices.Clone(r.Deleted)), Claims: claims[:min(len(claims), MaxClaims)]}
+	bound := min(len(claims), MaxClaims)
+	omitted.Claims = claims[bound:]
+	raw := residueJSON{Deleted: boundDeleted(slices.Clone(r.Deleted)), Claims: claims[:bound]}
 	data, err := json.Marshal(raw, json.Deterministic(true))
 	if err != nil {
-		return nil, eris.Wrap(err, "residue")
+		return nil, omitted, eris.Wrap(err, "residue")
 	}
 	size := len(data) + len(`"documents":[],`)
-	for _, doc := range r.Kept.All() {
+	for i, doc := range kept {
 		text, err := json.Marshal(doc, json.Deterministic(true))
 		if err != nil {
-			return nil, eris.Wrapf(err, "residue: %s", doc.Ref())
+			return nil, omitted, eris.Wrapf(err, "residue: %s", doc.Ref())
 		}
 		if size += len(text) + 1; size > MaxResidueBytes {
+			for _, doc := range kept[i:] {
+				omitted.Documents = append(omitted.Documents, doc.Ref())
+			}
 			break
 		}
 		raw.Documents = append(raw.Documents, text)
 	}
 	data, err = json.Marshal(raw, json.Deterministic(true))
-	return data, eris.Wrap(err, "residue")
+	return data, omitted, eris.Wrap(err, "residue")
 }
 
 // DecodeResidue reads a residue of a peer. Its documents are checked like those of a value; the bad ones and the deletions
--- a/internal/contract/residue_test.go
+++ b/internal/contract/residue_test.go
@@ -27,7 +27,7 @@
 }
 
 func mustEncode(t interface{ Fatal(...any) }, r Residue) []byte {
-	data, err := EncodeResidue(r)
+	data, _, err := EncodeResidue(r)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -122,3 +122,29 @@
 		t.Errorf("%d deletions from revision %d, %v", len(r.Deleted), r.Deleted[0].Revision, err)
 	}
 }
+
+// Guards against claims that are dropped without a report, and against a faulty claim of a peer that is taken.
+func TestClaimsOfAResidueAreBoundedAndChecked(t *testing.T) {
+	ref := Ref{KindContract, "grocer"}
+	var r Residue
+	for i := range MaxClaims + 2 {
+		r.Claims = append(r.Claims, Claim{ref, fmt.Sprintf("%03d", i), 7}, Claim{ref, fmt.Sprintf("%03d", i), 9})
+	}
+	data, omitted, err := EncodeResidue(r)
+	if err != nil || len(omitted.Claims) != 2 || omitted.Claims[0] != (Claim{ref, "256", 7}) {
+		t.Errorf("omitted %v, %v", omitted, err)
+	}
+	decoded, bad, err := DecodeResidue(ValueOf(ref), data, nil)
+	if err != nil || len(bad) > 0 || len(decoded.Claims) != MaxClaims || decoded.Claims[0] != (Claim{ref, "000", 7}) {
+		t.Errorf("%d claims, bad %v, %v", len(decoded.Claims), bad, err)
+	}
+	for _, c := range []Claim{{ref, "", 7}, {ref, "k", 0}, {Ref{KindContract, ""}, "k", 7}, {Ref{"Other", "grocer"}, "k", 7}, {Ref{KindService, "grocer"}, "k", 7}} {
+		data, _, err := EncodeResidue(Residue{Claims: []Claim{c}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r, bad, err := DecodeResidue(ValueOf(ref), data, nil); err != nil || len(bad) != 1 || len(r.Claims) > 0 {
+			t.Errorf("%+v: %+v, bad %v, %v", c, r.Claims, bad, err)
+		}
+	}
+}
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -36,6 +36,7 @@
 	d.auditRefused(u.Name, result.Refused)
 	d.auditChanges(u.Name, u.Revision, result.Changes)
 	d.auditFindings(u.Name, u.Revision, result.Findings)
+	d.auditOmitted(u.Name, u.Revision, result.Omitted)
 	for value, residue := range result.Claims {
 		d.sync.Remember(value, residue)
 	}
@@ -255,3 +256,24 @@
 		d.log.Part("config").Warn("Two documents list the same identifier.", c.What, c.ID, "held_by", c.InForce, "refused", c.Refused)
 	}
 }
+
+// maxNamedOmissions bounds the names in one report of a full residue.
+const maxNamedOmissions = 8
+
+// auditOmitted reports what is in force here and does not travel to other daemons, since the residue of the value is full.
+func (d *Daemon) auditOmitted(name string, rev uint64, omitted contract.Omitted) {
+	total := len(omitted.Documents) + len(omitted.Claims)
+	if total == 0 {
+		return
+	}
+	var names []string
+	for _, ref := range omitted.Documents {
+		names = append(names, ref.String())
+	}
+	for _, c := range omitted.Claims {
+		names = append(names, "claim of "+c.Ref.String())
+	}
+	reason := fmt.Sprintf("the residue is full; %d items do not reach other daemons: %s", total, strings.Join(names[:min(total, maxNamedOmissions)], ", "))
+	d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration: residue", Subject: name, To: revision(rev), Reason: reason})
+	d.log.Part("config").Warn("The residue of a value is full.", "value", name, "omitted", total, "reason", reason)
+}
--- a/internal/inforce/book.go
+++ b/internal/inforce/book.go
@@ -20,6 +20,8 @@
 	mu       sync.Mutex
 	values   map[string]held
 	findings map[string][]contract.Finding
+	// omitted is what the residues of the values have no room for.
+	omitted  map[string]contract.Omitted
 	edit     *catalog.Edit
 	snapshot atomic.Pointer[catalog.Snapshot]
 }
@@ -50,6 +52,8 @@
 	Refused []RefusedMemory
 	// Residue is what a peer needs besides the value to have the same in force, or nil when the value is enough.
 	Residue []byte
+	// Omitted is what the residue has no room for, when that is new.
+	Omitted contract.Omitted
 	// Claims are residues, by name of the value, that the caller must apply as memories of this daemon: since when documents
 	// in force list identifiers that turned out to be contested.
 	Claims map[string][]byte
@@ -57,7 +61,7 @@
 
 // New returns a book with no configuration. Snapshot returns nil until the first call of Publish.
 func New() *Book {
-	return &Book{values: map[string]held{}, findings: map[string][]contract.Finding{}}
+	return &Book{values: map[string]held{}, findings: map[string][]contract.Finding{}, omitted: map[string]contract.Omitted{}}
 }
 
 // Apply merges a value and the memories of peers into what is in force. An error means that the value as a whole cannot be
@@ -84,8 +88,8 @@
 	if after.Revision == before.Revision && len(residues) == 0 {
 		left := after.Residue(value)
 		left.Claims = b.values[name].residue.Claims
-		residue, err := contract.EncodeResidue(left)
-		return Result{Findings: findings, Refused: refused, Residue: residue}, err
+		residue, omitted, err := b.encode(name, left)
+		return Result{Findings: findings, Refused: refused, Residue: residue, Omitted: omitted}, err
 	}
 	plain, _ := contract.Merge(name, before, revision, value)
 	findings = append(findings, b.recalled(name, revision, value, plain, after, residues)...)
@@ -102,14 +106,31 @@
 	}
 	h := held{revision: after.Revision, content: packed, residue: after.Residue(value)}
 	h.residue.Claims = contract.ClaimsOf(after.Documents, b.claims(name, residues))
-	residue, err := contract.EncodeResidue(h.residue)
+	residue, omitted, err := b.encode(name, h.residue)
 	if err != nil {
 		return Result{}, err
 	}
 	b.values[name] = h
 	b.put(name, after)
 	claims, err := b.newClaims()
-	return Result{Changes: changes(before.Documents, after.Documents, value, residues), Residue: residue, Claims: claims}, err
+	return Result{Changes: changes(before.Documents, after.Documents, value, residues), Residue: residue, Omitted: omitted, Claims: claims}, err
+}
+
+// encode returns the residue of a value, and what was left out of it unless that was reported before. The caller holds mu.
+func (b *Book) encode(name string, residue contract.Residue) ([]byte, contract.Omitted, error) {
+	data, omitted, err := contract.EncodeResidue(residue)
+	if err != nil {
+		return nil, contract.Omitted{}, err
+	}
+	reported := b.omitted[name]
+	delete(b.omitted, name)
+	if len(omitted.Documents)+len(omitted.Claims) > 0 {
+		b.omitted[name] = omitted
+	}
+	if slices.Equal(reported.Documents, omitted.Documents) && slices.Equal(reported.Claims, omitted.Claims) {
+		omitted = contract.Omitted{}
+	}
+	return data, omitted, nil
 }
 
 func (b *Book) put(name string, after contract.InForce) {
--- a/internal/inforce/claims.go
+++ b/internal/inforce/claims.go
@@ -30,7 +30,7 @@
 	}
 	out := map[string][]byte{}
 	for _, value := range slices.Sorted(maps.Keys(unknown)) {
-		content, err := contract.EncodeResidue(contract.Residue{Claims: unknown[value]})
+		content, _, err := contract.EncodeResidue(contract.Residue{Claims: unknown[value]})
 		if err != nil {
 			return nil, err
 		}
--- a/internal/inforce/memory.go
+++ b/internal/inforce/memory.go
@@ -76,7 +76,11 @@
 	}
 	left := after.Residue(contract.Value{})
 	left.Claims = b.values[name].residue.Claims
-	result.Residue, err = contract.EncodeResidue(left)
+	residue, omitted, err := b.encode(name, left)
+	result.Residue = residue
+	if len(omitted.Documents)+len(omitted.Claims) > 0 {
+		result.Omitted = omitted
+	}
 	return result, err
 }
 
--- a/internal/inforce/memory_test.go
+++ b/internal/inforce/memory_test.go
@@ -1,9 +1,13 @@
 package inforce
 
 import (
+	"encoding/json"
+	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 )
 
@@ -98,3 +102,61 @@
 		t.Errorf("rates %v and %v, %d changes", a.Limits.RatePerSecond, b.Limits.RatePerSecond, changed)
 	}
 }
+
+// largeContract returns a contract of about 280 KB, or a faulty one.
+func largeContract(customer string, generation uint64, good bool) string {
+	routes := make([]any, 256)
+	for i := range routes {
+		routes[i] = map[string]any{"pathPrefix": fmt.Sprintf("/%d%s", i, strings.Repeat("x", 1000)), "service": "stock"}
+	}
+	rate := 1
+	if !good {
+		rate = -1
+	}
+	doc, err := json.Marshal(map[string]any{
+		"apiVersion": contract.APIVersion, "kind": contract.KindContract, "customer": customer, "generation": generation,
+		"apiKeySHA256": []string{catalog.DigestOf(customer).Hex()}, "routes": routes, "limits": map[string]any{"ratePerSecond": rate, "concurrency": 5},
+	})
+	if err != nil {
+		panic(err)
+	}
+	return string(doc)
+}
+
+// Guards against documents that a daemon which starts does not get, without a sign: a residue has a bound, and what is beyond it
+// must be reported, once.
+func TestFullResidueIsReportedOnce(t *testing.T) {
+	var names []string // contracts of one value, in order
+	for i := 0; len(names) < 4; i++ {
+		if name := fmt.Sprintf("customer-%05d", i); contract.ValueOf(contract.Ref{Kind: contract.KindContract, Name: name}) == "contracts/007" {
+			names = append(names, name)
+		}
+	}
+	b := New()
+	var docs []string
+	for i, name := range names { // one good document more in each revision, beside the faulty versions of the earlier ones
+		docs = append(docs, largeContract(name, 1, true))
+		result := mustApply(t, b, "contracts/007", uint64(i+1), value(docs...))
+		docs[i] = fmt.Sprintf(`{"apiVersion":%q,"kind":"Contract","customer":%q,"generation":2}`, contract.APIVersion, name)
+		if len(result.Omitted.Documents) > 0 {
+			t.Fatalf("revision %d: %v are omitted", i+1, result.Omitted)
+		}
+	}
+	result := mustApply(t, b, "contracts/007", 9, value(docs...))
+	want := contract.Ref{Kind: contract.KindContract, Name: names[3]}
+	if len(result.Omitted.Documents) != 1 || result.Omitted.Documents[0] != want || len(result.Residue) > contract.MaxResidueBytes {
+		t.Errorf("%v are omitted from %d bytes, want %v", result.Omitted, len(result.Residue), want)
+	}
+	if c := b.Publish().Customer(names[3]); c == nil {
+		t.Error("the omitted contract is not in force here")
+	}
+	for revision := range uint64(2) {
+		if again := mustApply(t, b, "contracts/007", 9+revision, value(docs...)); len(again.Omitted.Documents) > 0 {
+			t.Errorf("reported again: %v", again.Omitted)
+		}
+	}
+	docs[0] = largeContract(names[0], 3, true)
+	if fits := mustApply(t, b, "contracts/007", 11, value(docs...)); len(fits.Omitted.Documents) > 0 || len(b.omitted) > 0 {
+		t.Errorf("omitted although there is room: %v", fits.Omitted)
+	}
+}
