--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -36,7 +37,11 @@
 	d.auditRefused(u.Name, result.Refused)
 	d.auditChanges(u.Name, u.Revision, result.Changes)
 	d.auditFindings(u.Name, u.Revision, result.Findings)
-	if err == nil || len(result.Changes) > 0 {
+	d.auditOmitted(u.Name, u.Revision, result.Omitted)
+	for value, residue := range result.Claims {
+		d.sync.Remember(value, residue)
+	}
+	if err == nil || len(result.Changes) > 0 || len(memories) > 0 {
 		d.wakePublish()
 	}
 	return result.Residue, err
@@ -74,8 +79,14 @@
 	if snapshot == nil {
 		return false
 	}
+	var conflicts []catalog.Conflict
+	if before != nil {
+		conflicts = before.Conflicts()
+	}
+	d.auditConflicts(conflicts, snapshot.Conflicts())
 	// A snapshot keeps the pointers of services and VMs that did not change. A service gets a new one when a VM of it changes.
-	if before == nil || !maps.Equal(before.Services(), snapshot.Services()) {
+	// A conflict can give a backend server to another service without that.
+	if before == nil || !maps.Equal(before.Services(), snapshot.Services()) || !slices.Equal(conflicts, snapshot.Conflicts()) {
 		for _, err := range d.home.Apply(snapshot) {
 			d.log.Part("home").Warn("Detector settings are not usable.", "err", err)
 		}
@@ -245,3 +256,36 @@
 		d.log.Part("config").Warn("A document was not taken.", "document", f.Ref, "value", name, "reason", reason)
 	}
 }
+
+// auditConflicts reports the claims of documents that were not there before, among them those whose holder changed.
+func (d *Daemon) auditConflicts(before, now []catalog.Conflict) {
+	for _, c := range now {
+		if slices.Contains(before, c) {
+			continue
+		}
+		reason := "held by " + c.InForce + ", also listed by " + c.Refused
+		d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration: " + string(configsync.EventConflict), Subject: c.What + " " + c.ID, Reason: reason})
+		d.log.Part("config").Warn("Two documents list the same identifier.", c.What, c.ID, "held_by", c.InForce, "refused", c.Refused)
+	}
+}
+
+// maxNamedOmissions bounds the names in one report of a full residue.
+const maxNamedOmissions = 8
+
+// auditOmitted reports what is in force here and does not travel to other daemons, since the residue of the value is full.
+func (d *Daemon) auditOmitted(name string, rev uint64, omitted contract.Omitted) {
+	total := len(omitted.Documents) + len(omitted.Claims)
+	if total == 0 {
+		return
+	}
+	var names []string
+	for _, ref := range omitted.Documents {
+		names = append(names, ref.String())
+	}
+	for _, c := range omitted.Claims {
+		names = append(names, "claim of "+c.Ref.String())
+	}
+	reason := fmt.Sprintf("the residue is full; %d items do not reach other daemons: %s", total, strings.Join(names[:min(total, maxNamedOmissions)], ", "))
+	d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration: residue", Subject: name, To: revision(rev), Reason: reason})
+	d.log.Part("config").Warn("The residue of a value is full.", "value", name, "omitted", total, "reason", reason)
+}
