--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -9,18 +9,14 @@
 	"connectrpc.com/connect"
 
 	"github.com/cowsliprun/cowsliprun/internal/configsync"
-	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/home"
-	"github.com/cowsliprun/cowsliprun/internal/limits"
 	"github.com/cowsliprun/cowsliprun/internal/peerapi"
 	"github.com/cowsliprun/cowsliprun/internal/peerapi/peerapiconnect"
 	"github.com/cowsliprun/cowsliprun/internal/reservation"
 )
 
 const (
-	// shareTimeout bounds a request for shares. A later response would find the next request already sent.
-	shareTimeout   = time.Second
 	compareTimeout = 500 * time.Millisecond
 	// maxPeerClients bounds the clients kept. Holders and siblings are spread over the fleet, so there are more of them than
 	// peers; an idle client costs about 1 KB.
@@ -55,44 +51,6 @@
 	return connect.NewResponse(h.daemon.home.Summaries(time.Now(), req.Msg.GetBackendServers())), nil
 }
 
-// Share grants shares of limits that this daemon holds.
-func (h *controlHandler) Share(_ context.Context, req *connect.Request[peerapi.ShareRequest]) (*connect.Response[peerapi.ShareResponse], error) {
-	response := h.daemon.grantShares(shareRequestOf(req.Msg))
-	msg := &peerapi.ShareResponse{NotHolder: response.NotHolder}
-	for _, g := range response.Grants {
-		msg.Grants = append(msg.Grants, &peerapi.Grant{Customer: g.Customer, RateMilli: g.RateMilli, Concurrency: g.Concurrency})
-	}
-	return connect.NewResponse(msg), nil
-}
-
-func shareRequestOf(msg *peerapi.ShareRequest) limits.Request {
-	request := limits.Request{
-		Sender:   limits.Sender{VM: msg.GetSender().GetVm(), Incarnation: msg.GetSender().GetIncarnation()},
-		Sequence: msg.GetSequence(),
-	}
-	for _, demand := range msg.GetDemands() {
-		request.Demands = append(request.Demands, limits.Demand{
-			Customer: demand.GetCustomer(), RateMilli: demand.GetRateMilli(), Concurrency: demand.GetConcurrency(), InFlight: demand.GetInFlight(),
-			HeldRateMilli: demand.GetHeldRateMilli(), HeldConcurrency: demand.GetHeldConcurrency(),
-		})
-	}
-	return request
-}
-
-func (d *Daemon) grantShares(request limits.Request) limits.Response {
-	snapshot := d.snapshot()
-	return d.holder.Handle(time.Now(), request, func(customer string) (contract.Limits, bool) {
-		if snapshot == nil {
-			return contract.Limits{}, false
-		}
-		c := snapshot.Customer(customer)
-		if c == nil {
-			return contract.Limits{}, false
-		}
-		return c.Limits, true
-	})
-}
-
 // peerClients calls other daemons about reservations and shares.
 type peerClients struct {
 	http *http.Client
@@ -194,46 +152,3 @@
 	}
 	d.home.ReservationResult(time.Now(), msg.ID, resp.Msg.GetGranted(), nil)
 }
-
-// tickShares asks the holders for shares of limits, at once when a request waits for one.
-func (d *Daemon) tickShares(ctx context.Context) {
-	ticker := time.NewTicker(limits.TickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		case <-d.askShares:
-		}
-		for _, out := range d.shares.Tick(time.Now()) {
-			go d.askForShares(ctx, out)
-		}
-	}
-}
-
-func (d *Daemon) askForShares(ctx context.Context, out limits.Outgoing) {
-	if out.Holder == d.settings.VM {
-		d.shares.Apply(time.Now(), out, d.grantShares(out.Request))
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
-	defer cancel()
-	msg := &peerapi.ShareRequest{Sender: d.sender(), Sequence: out.Request.Sequence}
-	for _, demand := range out.Request.Demands {
-		msg.Demands = append(msg.Demands, &peerapi.Demand{
-			Customer: demand.Customer, RateMilli: demand.RateMilli, Concurrency: demand.Concurrency, InFlight: demand.InFlight,
-			HeldRateMilli: demand.HeldRateMilli, HeldConcurrency: demand.HeldConcurrency,
-		})
-	}
-	resp, err := d.peers.client(d.addressOf(out.Holder)).Share(ctx, connect.NewRequest(msg))
-	if err != nil {
-		d.log.Part("limits").Debug("A holder of limits did not answer.", "vm", out.Holder, "err", err)
-		return
-	}
-	response := limits.Response{NotHolder: resp.Msg.GetNotHolder()}
-	for _, g := range resp.Msg.GetGrants() {
-		response.Grants = append(response.Grants, limits.Grant{Customer: g.GetCustomer(), RateMilli: g.GetRateMilli(), Concurrency: g.GetConcurrency()})
-	}
-	d.shares.Apply(time.Now(), out, response)
-}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -86,14 +86,15 @@
 		return nil, err
 	}
 	d := &Daemon{
-		settings: s, incarnation: newIncarnation(), log: log, audit: audit.New(s.VM, audit.DefaultCapacity, o.Audit),
-		started: time.Now().UTC(), metrics: metrics.NewSet(), book: inforce.New(), published: make(chan struct{}, 1), askShares: make(chan struct{}, 1), drained: make(chan struct{}),
+		settings: s, incarnation: newIncarnation(), started: time.Now().UTC(),
+		log: log, audit: audit.New(s.VM, audit.DefaultCapacity, o.Audit), metrics: metrics.NewSet(), book: inforce.New(),
+		published: make(chan struct{}, 1), askShares: make(chan struct{}, 1), drained: make(chan struct{}),
 	}
 	d.platform = newPlatformClient(s.Platform)
 	d.peers = newPeerClients(&d.control)
 	d.sync = d.newRunner()
 	d.home = home.New(home.Options{VM: s.VM, Observer: d.modeChanged, Seed: d.incarnation})
-	plan := limits.Plan{Daemons: 1, RegionWeight: 1}
+	plan := limits.Plan{Daemons: 1, RegionWeight: 1} // updatePlan replaces it
 	d.holder = limits.NewHolder(time.Now(), s.VM, plan)
 	d.shares = limits.NewUser(time.Now(), limits.Sender{VM: s.VM, Incarnation: d.incarnation}, plan)
 	d.memory = operation.NewMemory(s.VM, d.incarnation, operation.Options{})
--- a/internal/daemon/limiter.go
+++ b/internal/daemon/limiter.go
@@ -10,14 +10,20 @@
 	"github.com/cowsliprun/cowsliprun/internal/limits"
 )
 
-// maxWaiting bounds the requests that wait for a share at the same time. More are refused at once, so that a flood of
-// requests above a limit does not pile up in memory.
-const maxWaiting = 1024
+const (
+	// maxWaiting bounds the requests that wait for a share at the same time. More are refused at once, so that a flood of
+	// requests above a limit does not pile up in memory.
+	maxWaiting = 1024
+	// shareWait is the time between two looks for a share. A holder in the same data centre answers within it.
+	shareWait = 5 * time.Millisecond
+)
 
 // limiter admits callers' requests by the shares of this daemon.
 type limiter struct {
-	user    *limits.User
-	ask     chan<- struct{}
+	user *limits.User
+	// ask wakes the goroutine that asks holders for shares.
+	ask chan<- struct{}
+	// waiting counts the requests that wait for a share.
 	waiting atomic.Int64
 }
 
@@ -57,9 +63,7 @@
 	return nil
 }
 
-// shareWait is the time between two looks for a share. A holder in the same data centre answers within it.
-const shareWait = 5 * time.Millisecond
-
+// sleep returns false when ctx ended before d was over.
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/limits/grant.go
+++ b/internal/limits/grant.go
@@ -27,11 +27,12 @@
 	g.wantRate, g.wantConcurrency, g.inFlight = d.RateMilli, uint64(d.Concurrency), uint64(d.InFlight)
 }
 
+// renew records the answer to the last report.
 func (g *grant) renew(until time.Time, rate, concurrency uint64) {
 	g.grantedRate, g.grantedConcurrency, g.until = rate, concurrency, until
 }
 
-// rate returns what the sender may use at most.
+// rate returns what the sender may use at most, in thousandths of a request a second.
 func (g *grant) rate(now time.Time) uint64 {
 	if now.Before(g.heldUntil) {
 		return max(g.grantedRate, g.heldRate)
@@ -39,7 +40,7 @@
 	return g.grantedRate
 }
 
-// concurrency returns what the sender may use at most, or has in flight beyond its base allowance.
+// concurrency returns how many requests in flight the sender may have at most, or reported, beyond base, its base allowance.
 func (g *grant) concurrency(now time.Time, base uint64) uint64 {
 	n := g.grantedConcurrency
 	if now.Before(g.heldUntil) {
--- a/internal/limits/holder.go
+++ b/internal/limits/holder.go
@@ -25,7 +25,7 @@
 	view      *View
 	earlier   []earlierView
 	version   uint64
-	customers map[string]*held
+	customers map[string]*customerGrants
 	senders   map[Sender]*sender
 	grants    int
 	swept     time.Time
@@ -42,19 +42,19 @@
 	seen     time.Time
 }
 
-// held is the state of one customer's part.
-type held struct {
+// customerGrants are the grants of one customer.
+type customerGrants struct {
 	grants []*grant
-	// holder caches whether this daemon is the holder in the views of version.
-	version uint64
-	holder  bool
+	// isHolder caches whether this daemon is the holder of the customer in the view with the number version.
+	version  uint64
+	isHolder bool
 }
 
 // NewHolder returns a holder that starts to grant one lease after now: until then, shares of an earlier process may be in
 // use.
 func NewHolder(now time.Time, self string, plan Plan) *Holder {
 	return &Holder{self: self, plan: plan, started: now, view: NewView(nil),
-		customers: map[string]*held{}, senders: map[Sender]*sender{}, swept: now}
+		customers: map[string]*customerGrants{}, senders: map[Sender]*sender{}, swept: now}
 }
 
 // SetView sets the VMs of the region. A daemon that becomes holder of a customer by the new view grants after one lease.
@@ -107,40 +107,42 @@
 			continue
 		}
 		if c == nil {
-			c = &held{version: h.version, holder: true}
+			c = &customerGrants{version: h.version, isHolder: true}
 			h.customers[d.Customer] = c
 		}
-		rate, concurrency := h.grant(now, c, r.Sender, d, l)
+		rate, concurrency := h.renew(now, c, r.Sender, d, l)
 		out.Grants = append(out.Grants, Grant{d.Customer, rate, concurrency})
 	}
 	return out
 }
 
 // isHolder reports whether this daemon is the holder in the current view and in each view of the last lease.
-func (h *Holder) isHolder(now time.Time, customer string, c *held, lease time.Duration) bool {
+func (h *Holder) isHolder(now time.Time, customer string, c *customerGrants, lease time.Duration) bool {
 	if now.Sub(h.started) < lease {
 		return false
 	}
 	if c != nil && c.version == h.version && len(h.earlier) == 0 {
-		return c.holder
+		return c.isHolder
 	}
 	holder := h.view.Holder(customer) == h.self
 	for _, e := range h.earlier {
 		holder = holder && (now.Sub(e.left) >= lease || e.view.Holder(customer) == h.self)
 	}
 	if c != nil && len(h.earlier) == 0 {
-		c.version, c.holder = h.version, holder
+		c.version, c.isHolder = h.version, holder
 	}
 	return holder
 }
 
-func (h *Holder) grant(now time.Time, c *held, from Sender, d Demand, l contract.Limits) (uint64, uint32) {
+// renew takes over the sender's demand and replaces its grant. The new one is the max-min fair part of all demands, as far as the grants of
+// the others leave room: they may be used until their leases end.
+func (h *Holder) renew(now time.Time, c *customerGrants, from Sender, d Demand, l contract.Limits) (rateMilli uint64, concurrency uint32) {
 	g := h.find(now, c, from)
 	if g == nil {
 		return 0, 0
 	}
 	g.report(d)
-	rates, concurrencies := h.plan.RatePart(l), uint64(h.plan.ConcurrencyPart(l))
+	ratePart, concurrencyPart := h.plan.RatePart(l), uint64(h.plan.ConcurrencyPart(l))
 	n, least, base := len(c.grants), leastRate(l), uint64(h.plan.BaseConcurrency(l))
 	var usedRate, usedConcurrency uint64
 	for _, other := range c.grants {
@@ -149,25 +151,26 @@
 			usedConcurrency += other.concurrency(now, base)
 		}
 	}
-	rate := fairGrant(rates, g.wantRate, headroomRateMilli, n, func(i int) uint64 { return c.grants[i].wantRate })
-	concurrency := fairGrant(concurrencies, g.wantConcurrency, headroomConcurrency, n, func(i int) uint64 { return c.grants[i].wantConcurrency })
+	rate := fairGrant(ratePart, g.wantRate, headroomRateMilli, n, func(i int) uint64 { return c.grants[i].wantRate })
+	slots := fairGrant(concurrencyPart, g.wantConcurrency, headroomConcurrency, n, func(i int) uint64 { return c.grants[i].wantConcurrency })
 	if g.wantRate == 0 {
-		rate, concurrency = 0, 0 // a return
+		rate, slots = 0, 0 // a return
 	} else {
 		// With more askers than slots the fair grant is 0. One slot at a time then goes to whoever asks while one is free.
-		concurrency = max(1, concurrency)
-		rate = max(rate, min(least, rates))
+		slots = max(1, slots)
+		rate = max(rate, min(least, ratePart))
 	}
-	rate = min(rate, available(rates, usedRate))
+	rate = min(rate, available(ratePart, usedRate))
 	// A smaller share would never let a request pass. What is left goes to whoever asks when enough of it is free.
-	if rate < min(least, rates) {
+	if rate < min(least, ratePart) {
 		rate = 0
 	}
-	concurrency = min(concurrency, available(concurrencies, usedConcurrency))
-	g.renew(now.Add(holderLease(l)), rate, concurrency)
-	return rate, uint32(concurrency)
+	slots = min(slots, available(concurrencyPart, usedConcurrency))
+	g.renew(now.Add(holderLease(l)), rate, slots)
+	return rate, uint32(slots)
 }
 
+// available returns what is left of the part. More than the part is in use after the part has become smaller.
 func available(part, used uint64) uint64 {
 	if used >= part {
 		return 0
@@ -175,8 +178,8 @@
 	return part - used
 }
 
-// find returns the sender's grant without those of other senders that have ended, or nil when the memory is full.
-func (h *Holder) find(now time.Time, c *held, from Sender) *grant {
+// find removes the grants that have ended and returns the sender's, a new one if necessary, or nil when the memory is full.
+func (h *Holder) find(now time.Time, c *customerGrants, from Sender) *grant {
 	h.compact(now, c)
 	for _, g := range c.grants {
 		if g.sender == from {
@@ -193,7 +196,7 @@
 }
 
 // compact removes grants that have ended.
-func (h *Holder) compact(now time.Time, c *held) {
+func (h *Holder) compact(now time.Time, c *customerGrants) {
 	kept := c.grants[:0]
 	for _, g := range c.grants {
 		if now.Before(g.until) {
--- a/internal/limits/state.go
+++ b/internal/limits/state.go
@@ -196,12 +196,19 @@
 	return Demand{Customer: s.name, RateMilli: uint64(s.rate*1000) + 1, Concurrency: max(s.lastPeak, 1), InFlight: s.inFlight}
 }
 
-// due decides whether to send a request now. It is called for wanted states only.
+// needsNoShare reports whether the base allowance is enough: traffic has nearly stopped, or is well below the allowance.
+func (s *state) needsNoShare(plan Plan) bool {
+	base := plan.BaseConcurrency(s.limits)
+	stopped := s.rate*Lease.Seconds() < 0.5 && s.inFlight <= base
+	return stopped || s.rate < plan.BaseRate(s.limits)/2 && s.lastPeak <= base
+}
+
+// due decides whether to ask for a share now, and whether to keep the state in the list of customers that need one.
 func (s *state) due(now time.Time, plan Plan) (d Demand, ask, keep bool) {
-	since, baseRate, base := now.Sub(s.asked), plan.BaseRate(s.limits), plan.BaseConcurrency(s.limits)
+	since := now.Sub(s.asked)
 	d = s.demand()
 	shared := s.share.valid(now)
-	idle := s.rate*Lease.Seconds() < 0.5 && s.inFlight <= base || s.rate < baseRate/2 && s.lastPeak <= base
+	idle := s.needsNoShare(plan)
 	switch {
 	case idle && shared && s.share.rateMilli > 0 && since >= returnAfter && s.share.paid(now):
 		d.RateMilli, d.Concurrency = 0, 0
@@ -227,6 +234,7 @@
 	return grow || s.oversized(now, d)
 }
 
+// oversized reports whether the share is more than three times the demand, so that another entry may lack it.
 func (s *state) oversized(now time.Time, d Demand) bool {
 	return d.RateMilli*3 < s.share.rateMilli && s.share.rateMilli > 2*headroomRateMilli && s.share.paid(now)
 }
@@ -241,3 +249,29 @@
 		s.share.rateMilli = d.RateMilli*3/2 + headroomRateMilli
 	}
 }
+
+// accept replaces the share. Tokens gathered under the old share stay, within the new size of the bucket.
+func (s *state) accept(now time.Time, holder string, g Grant) {
+	s.sequence, s.holderWaits = 0, time.Time{}
+	if s.want.RateMilli == 0 {
+		return // the response to a return
+	}
+	s.cut = g.RateMilli < s.want.RateMilli || g.Concurrency < s.want.Concurrency
+	if s.cut {
+		s.cutRetry = min(max(s.cutRetry*2, firstCutRetry), renewAfter(LeaseOf(s.limits)))
+	} else {
+		s.cutRetry = 0
+	}
+	next := share{holder: holder, rateMilli: g.RateMilli, concurrency: g.Concurrency, sent: s.asked, wallSent: s.asked.Round(0), lease: LeaseOf(s.limits)}
+	if s.share.valid(now) && s.share.rateMilli > 0 {
+		s.share.used.fill(now, float64(s.share.rateMilli)/1000, burst(s.limits, s.share.rateMilli))
+		next.used = s.share.used
+	} else if g.RateMilli > 0 {
+		// The first token is paid in advance: the bucket fills only after the time that the token takes at this rate.
+		next.used = bucket{tokens: 1, last: now.Add(time.Duration(1000 / float64(g.RateMilli) * float64(time.Second)))}
+	}
+	s.share = next
+}
+
+// renewAfter is when a share that fits is renewed. It leaves time for more tries within the lease.
+func renewAfter(lease time.Duration) time.Duration { return lease * 7 / 10 }
--- a/internal/limits/user.go
+++ b/internal/limits/user.go
@@ -225,32 +225,6 @@
 	}
 }
 
-// accept replaces the share. Tokens gathered under the old share stay, within the new size of the bucket.
-func (s *state) accept(now time.Time, holder string, g Grant) {
-	s.sequence, s.holderWaits = 0, time.Time{}
-	if s.want.RateMilli == 0 {
-		return // the response to a return
-	}
-	s.cut = g.RateMilli < s.want.RateMilli || g.Concurrency < s.want.Concurrency
-	if s.cut {
-		s.cutRetry = min(max(s.cutRetry*2, firstCutRetry), renewAfter(LeaseOf(s.limits)))
-	} else {
-		s.cutRetry = 0
-	}
-	next := share{holder: holder, rateMilli: g.RateMilli, concurrency: g.Concurrency, sent: s.asked, wallSent: s.asked.Round(0), lease: LeaseOf(s.limits)}
-	if s.share.valid(now) && s.share.rateMilli > 0 {
-		s.share.used.fill(now, float64(s.share.rateMilli)/1000, burst(s.limits, s.share.rateMilli))
-		next.used = s.share.used
-	} else if g.RateMilli > 0 {
-		// The first token is paid in advance: the bucket fills only after the time that the token takes at this rate.
-		next.used = bucket{tokens: 1, last: now.Add(time.Duration(1000 / float64(g.RateMilli) * float64(time.Second)))}
-	}
-	s.share = next
-}
-
-// renewAfter is when a share that fits is renewed. It leaves time for more tries within the lease.
-func renewAfter(lease time.Duration) time.Duration { return lease * 7 / 10 }
-
 // sweep forgets the customers of one shard that are idle and whose base allowance is full again, so that forgetting gives
 // nothing away.
 func (u *User) sweep(now time.Time, sh *shard) {
