--- a/internal/daemon/configaudit.go
+++ b/internal/daemon/configaudit.go
@@ -3,17 +3,23 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
 	"github.com/cowsliprun/cowsliprun/internal/audit"
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/configsync"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/inforce"
 )
 
-// maxAuditedChanges bounds the entries of one value. The first value of a start holds up to hundreds of documents.
-const maxAuditedChanges = 16
+const (
+	// maxAuditedChanges bounds the entries of one value. The first value of a start holds up to hundreds of documents.
+	maxAuditedChanges = 16
+	// maxNamedOmissions bounds the names in one report of a full residue.
+	maxNamedOmissions = 8
+)
 
 // writeSyncEvents copies the events of the propagation into the audit trail and the log.
 func (d *Daemon) writeSyncEvents(ctx context.Context) {
@@ -105,3 +111,33 @@
 		d.log.Part("config").Warn("A document was not taken.", "document", f.Ref, "value", name, "reason", reason)
 	}
 }
+
+// auditConflicts reports the claims of documents that were not there before, among them those whose holder changed.
+func (d *Daemon) auditConflicts(before, now []catalog.Conflict) {
+	for _, c := range now {
+		if slices.Contains(before, c) {
+			continue
+		}
+		reason := "held by " + c.InForce + ", also listed by " + c.Refused
+		d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration: " + string(configsync.EventConflict), Subject: c.What + " " + c.ID, Reason: reason})
+		d.log.Part("config").Warn("Two documents list the same identifier.", c.What, c.ID, "held_by", c.InForce, "refused", c.Refused)
+	}
+}
+
+// auditOmitted reports what is in force here and does not travel to other daemons, since the residue of the value is full.
+func (d *Daemon) auditOmitted(name string, rev uint64, omitted contract.Omitted) {
+	total := len(omitted.Documents) + len(omitted.Claims)
+	if total == 0 {
+		return
+	}
+	var names []string
+	for _, ref := range omitted.Documents {
+		names = append(names, ref.String())
+	}
+	for _, c := range omitted.Claims {
+		names = append(names, "claim of "+c.Ref.String())
+	}
+	reason := fmt.Sprintf("the residue is full; %d items do not reach other daemons: %s", total, strings.Join(names[:min(total, maxNamedOmissions)], ", "))
+	d.audit.Add(audit.Entry{Actor: "platform", Action: "configuration: residue", Subject: name, To: revision(rev), Reason: reason})
+	d.log.Part("config").Warn("The residue of a value is full.", "value", name, "omitted", total, "reason", reason)
+}
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/audit"
@@ -30,7 +31,11 @@
 	d.auditRefused(u.Name, result.Refused)
 	d.auditChanges(u.Name, u.Revision, result.Changes)
 	d.auditFindings(u.Name, u.Revision, result.Findings)
-	if err == nil || len(result.Changes) > 0 {
+	d.auditOmitted(u.Name, u.Revision, result.Omitted)
+	for value, residue := range result.Claims {
+		d.sync.Remember(value, residue)
+	}
+	if err == nil || len(result.Changes) > 0 || len(memories) > 0 {
 		d.wakePublish()
 	}
 	return result.Residue, err
@@ -68,8 +73,14 @@
 	if snapshot == nil {
 		return false
 	}
+	var conflicts []catalog.Conflict
+	if before != nil {
+		conflicts = before.Conflicts()
+	}
+	d.auditConflicts(conflicts, snapshot.Conflicts())
 	// A snapshot keeps the pointers of services and VMs that did not change. A service gets a new one when a VM of it changes.
-	if before == nil || !maps.Equal(before.Services(), snapshot.Services()) {
+	// A conflict can give a backend server to another service without that.
+	if before == nil || !maps.Equal(before.Services(), snapshot.Services()) || !slices.Equal(conflicts, snapshot.Conflicts()) {
 		for _, err := range d.home.Apply(snapshot) {
 			d.log.Part("home").Warn("Detector settings are not usable.", "err", err)
 		}
--- a/internal/home/apply.go
+++ b/internal/home/apply.go
@@ -21,7 +21,8 @@
 		cfg, err := detectorConfig(svc)
 		here := false
 		for _, b := range svc.BackendServers {
-			if b.VM.ID == h.vm {
+			// Of two services that list one backend server, one holds it; the order of the map must not decide.
+			if b.VM.ID == h.vm && snapshot.BackendServer(b.ID).Service == svc.Name {
 				next[b.ID] = h.adopt(b, svc, cfg, now)
 				here = true
 			}
--- a/internal/inforce/memory.go
+++ b/internal/inforce/memory.go
@@ -74,7 +74,13 @@
 		}
 		result.Findings = b.note(name, append(slices.Clone(b.findings[name]), b.recalled(name, revision, value, before, after, residues)...))
 	}
-	result.Residue, err = contract.EncodeResidue(after.Residue(contract.Value{}))
+	left := after.Residue(contract.Value{})
+	left.Claims = b.values[name].residue.Claims
+	residue, omitted, err := b.encode(name, left)
+	result.Residue = residue
+	if len(omitted.Documents)+len(omitted.Claims) > 0 {
+		result.Omitted = omitted
+	}
 	return result, err
 }
 
