Give a daemon whose region has no configured VM no part of the limits

Cause: until a VM of its region was configured, a daemon divided the limits as if it were the whole fleet, so that its callers could use the limits once more on top of the parts of the configured regions.

Change: such a daemon has only the fixed part of one more daemon. A plan that was known stays when the region loses its VMs for a moment, as when values arrive one by one.

Before and after, 40 requests in flight by the contract, one VM of another region: 3 admitted at once without a share and the holder would have granted 36; now 2 and none.

--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -111,10 +111,17 @@
 			own++
 		}
 	}
-	if own == 0 {
-		return // no VM of this region is configured yet
+	switch {
+	case own > 0:
+		d.planned = true
+		d.setPlan(limits.Plan{Daemons: total, RegionWeight: float64(own) / float64(total)})
+	case !d.planned:
+		// The parts of the configured regions already add up to the limits, so a VM of another region grants nothing.
+		d.setPlan(limits.Plan{Daemons: total + 1})
 	}
-	plan := limits.Plan{Daemons: total, RegionWeight: float64(own) / float64(total)}
+}
+
+func (d *Daemon) setPlan(plan limits.Plan) {
 	d.holder.SetPlan(plan)
 	d.shares.SetPlan(plan)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -53,6 +53,8 @@
 
 	// published wakes the goroutine that puts applied values in force.
 	published chan struct{}
+	// planned is true once the limits are divided with this region. The goroutine that publishes owns it.
+	planned bool
 	// askShares wakes the goroutine that asks for shares of limits.
 	askShares chan struct{}
 	// start opens when what the start procedure gathered is in force.
@@ -94,7 +96,7 @@
 	d.peers = newPeerClients(&d.control)
 	d.sync = d.newRunner()
 	d.home = home.New(home.Options{VM: s.VM, Observer: d.modeChanged, Log: log.Part("home"), Seed: d.incarnation})
-	plan := limits.Plan{Daemons: 1, RegionWeight: 1} // updatePlan replaces it
+	plan := limits.Plan{Daemons: 1} // updatePlan replaces it
 	d.holder = limits.NewHolder(time.Now(), s.VM, plan)
 	d.shares = limits.NewUser(time.Now(), limits.Sender{VM: s.VM, Incarnation: d.incarnation}, plan)
 	d.memory = operation.NewMemory(s.VM, d.incarnation, operation.Options{})
--- a/internal/daemon/publish_test.go
+++ b/internal/daemon/publish_test.go
@@ -86,6 +86,28 @@
 	})
 }
 
+// A daemon whose region is not in the configuration must not take the limits of the whole fleet for its part.
+func TestRegionWithoutVMsGetsNoPart(t *testing.T) {
+	d := newUnconnected(t)
+	dataCentre := contract.DataCentre{APIVersion: contract.APIVersion, Kind: contract.KindDataCentre, DataCentre: "dc1", Generation: 1, Region: "elsewhere"}
+	applyDocuments(t, d, contract.ValueDataCentres, 1, dataCentre)
+	applyDocuments(t, d, contract.ValueVMs, 2, vmDocument(1, "10.0.0.1:1"))
+	document := contractDocument(1)
+	document.Limits.Concurrency = 40
+	applyDocuments(t, d, contract.ValueOf(contract.Ref{Kind: contract.KindContract, Name: "grocer"}), 3, document)
+	if !d.publishApplied() {
+		t.Fatal("no configuration")
+	}
+	// A tenth of 40 is for the fixed parts of two daemons, this one included.
+	admitted := 0
+	for d.shares.Admit(time.Now(), d.book.Snapshot().Customer("grocer")).OK {
+		admitted++
+	}
+	if admitted != 2 {
+		t.Errorf("%d requests in flight without a share, want 2", admitted)
+	}
+}
+
 // BenchmarkPublishContractChange measures what a daemon does to put one changed contract in force, with the documents of a whole
 // fleet. Decoding of the value is not measured.
 func BenchmarkPublishContractChange(b *testing.B) {
