Send the lookups of example and measurement from one load

Cause: the local example and the measurement of the detection held the same load of lookups, with two ways to keep the rate. Change: fleet.Load beside Modes; both keep the measurement's rate, in which a lookup that comes late does not delay the next ones. The direct calls of the measurement stay there.

--- a/cmd/measure-detection/load.go
+++ b/cmd/measure-detection/load.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/contract"
@@ -43,15 +42,12 @@
 	return names
 }
 
-// load sends lookups at a constant rate through all daemons.
+// load sends lookups through the fleet, and beside them direct calls of the backend servers for comparison.
 type load struct {
-	fleet    *fleet.Fleet
-	interval time.Duration
-	// lateAfter is half of what a slow backend server takes in addition.
-	lateAfter time.Duration
-	client    *http.Client
-
-	answered, late, failed atomic.Int64
+	*fleet.Load
+	addresses   []string
+	directEvery time.Duration
+	client      *http.Client
 
 	// through and direct hold the times of lookups through the fleet and of direct calls of a backend server, while measuring.
 	mu              sync.Mutex
@@ -108,52 +104,25 @@
 	resp.Body.Close()
 }
 
+// lookupTimeout is far above the deadline of the contract, so that an end by the fleet counts as such.
+const lookupTimeout = 15 * time.Second
+
 func newLoad(f *fleet.Fleet, o options) *load {
-	return &load{
-		fleet: f, interval: time.Second / time.Duration(o.rate*o.backends),
-		lateAfter: time.Duration((10 + o.latencyMs/2) * float64(time.Millisecond)),
-		client:    &http.Client{Timeout: 15 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+	interval := time.Second / time.Duration(o.rate*o.backends)
+	l := &load{directEvery: directEvery * interval, client: &http.Client{Timeout: lookupTimeout}}
+	for _, b := range f.Documents().Services[0].BackendServers {
+		l.addresses = append(l.addresses, b.Address)
 	}
+	l.Load = f.NewLoad(fleet.LoadOptions{
+		Path: "/item", Key: fleet.Key(customer), Interval: interval, Timeout: lookupTimeout,
+		// Half of what a slow backend server takes in addition.
+		LateAfter: time.Duration((10 + o.latencyMs/2) * float64(time.Millisecond)),
+		InTime:    func(took time.Duration) { l.note(&l.through, took) },
+	})
+	return l
 }
 
 func (l *load) run(ctx context.Context) {
-	vms := l.fleet.Documents().VMs
-	var addresses []string
-	for _, b := range l.fleet.Documents().Services[0].BackendServers {
-		addresses = append(addresses, b.Address)
-	}
-	start := time.Now()
-	for i := 0; ; i++ {
-		if !pause(ctx, time.Until(start.Add(time.Duration(i)*l.interval))) {
-			return
-		}
-		go l.lookup(ctx, l.fleet.CallersURL(vms[i%len(vms)].VM)+"/item")
-		if i%directEvery == 0 {
-			go l.callDirect(ctx, addresses[i/directEvery%len(addresses)])
-		}
-	}
-}
-
-func (l *load) lookup(ctx context.Context, url string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return
-	}
-	req.Header.Set("Authorization", "Bearer "+fleet.Key(customer))
-	start := time.Now()
-	resp, err := l.client.Do(req)
-	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
-	}
-	switch {
-	case ctx.Err() != nil:
-	case err != nil || resp.StatusCode != http.StatusOK:
-		l.failed.Add(1)
-	case time.Since(start) > l.lateAfter:
-		l.late.Add(1)
-	default:
-		l.answered.Add(1)
-		l.note(&l.through, time.Since(start))
-	}
+	go l.Run(ctx)
+	fleet.Every(ctx, l.directEvery, func(i int) { go l.callDirect(ctx, l.addresses[i%len(l.addresses)]) })
 }
--- a/cmd/measure-detection/main.go
+++ b/cmd/measure-detection/main.go
@@ -201,5 +201,5 @@
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|---|")
 	fmt.Printf("| `%s` | %d | %d | %.0f | %d | %v | %v | %v | %d | %d | %d | %d | %d |\n", t.options.preset, t.options.backends, t.options.rate,
 		t.options.latencyMs, t.options.trials, quantile(50), quantile(90), quantile(100), t.missed, t.wrong,
-		t.load.answered.Load()+t.load.late.Load()+t.load.failed.Load(), t.load.late.Load(), t.load.failed.Load())
+		t.load.Answered.Load()+t.load.Late.Load()+t.load.Failed.Load(), t.load.Late.Load(), t.load.Failed.Load())
 }
--- a/examples/local/main.go
+++ b/examples/local/main.go
@@ -7,13 +7,10 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"runtime"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +26,8 @@
 	apiKey          = "grocer-key"
 	startLimit      = 30 * time.Second
 	loadInterval    = 10 * time.Millisecond
+	lateAfter       = 100 * time.Millisecond
+	lookupTimeout   = 5 * time.Second
 	reportInterval  = 2 * time.Second
 )
 
@@ -115,56 +114,12 @@
 `, grayBackend, work+"/documents", work, apiKey, apiKey, work, work, grayBackend, work, work, work, platformAddress, work)
 }
 
-// load sends lookups through all daemons until ctx ends and counts the answers.
-type load struct {
-	client         *http.Client
-	answered, late atomic.Int64
-	failed         atomic.Int64
-}
-
-func (l *load) run(ctx context.Context, f *fleet.Fleet) {
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
-	vms := []string{"vm1", "vm2", "vm3"}
-	for i := 0; ; i++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			go l.lookup(ctx, f.CallersURL(vms[i%len(vms)])+"/stock/7")
-		}
-	}
-}
-
-func (l *load) lookup(ctx context.Context, url string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return
-	}
-	req.Header.Set("Authorization", "Bearer "+apiKey)
-	start := time.Now()
-	resp, err := l.client.Do(req)
-	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
-	}
-	switch {
-	case ctx.Err() != nil:
-	case err != nil || resp.StatusCode != http.StatusOK:
-		l.failed.Add(1)
-	case time.Since(start) > 100*time.Millisecond:
-		l.late.Add(1)
-	default:
-		l.answered.Add(1)
-	}
-}
-
 // watch sends a light load and reports the mode of the gray backend server until ctx ends.
 func watch(ctx context.Context, f *fleet.Fleet) {
-	l := &load{client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	l := f.NewLoad(fleet.LoadOptions{Path: "/stock/7", Key: apiKey, Interval: loadInterval, LateAfter: lateAfter, Timeout: lookupTimeout})
 	loadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go l.run(loadCtx, f)
+	go l.Run(loadCtx)
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
@@ -177,7 +132,7 @@
 	}
 }
 
-func report(l *load, modes map[string]string) string {
+func report(l *fleet.Load, modes map[string]string) string {
 	out := 0
 	for _, mode := range modes {
 		if mode == "ejected" || mode == "probing" {
@@ -185,5 +140,5 @@
 		}
 	}
 	return fmt.Sprintf("last 2 s: %3d in time, %2d late, %d failed | %s is %s, %d of %d backend servers in service",
-		l.answered.Swap(0), l.late.Swap(0), l.failed.Swap(0), grayBackend, modes[grayBackend], len(modes)-out, len(modes))
+		l.Answered.Swap(0), l.Late.Swap(0), l.Failed.Swap(0), grayBackend, modes[grayBackend], len(modes)-out, len(modes))
 }
