Name the input of a fault in the fuzz target of the callers' listener

Cause: the target failed once and kept an input that cannot cause a fault: its Authorization is malformed, so it is refused and nothing of it reaches a backend server. Two faults of the target itself can blame a later input. It waited on a sync.WaitGroup to which a late connection may add at the same time, which is misuse and may panic; and it compared readings of earlier inputs, and repeated faults once found, while a later input was sent. Which of them it was is not known: the failure did not come back. Change: handlers are counted under the lock of the readings, a fault names the input of its connection and is reported once, and the readings of refused requests no longer pile up.

--- a/internal/daemon/malformed_fuzz_test.go
+++ b/internal/daemon/malformed_fuzz_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -20,19 +21,64 @@
 	body                bytes.Buffer
 	// whole is true after the end of the body.
 	whole bool
+	// from is the address of the caller's connection.
+	from string
 }
 
 func readingOf(r *http.Request) *reading {
-	return &reading{method: r.Method, path: r.URL.EscapedPath(), query: r.URL.RawQuery}
+	return &reading{method: r.Method, path: r.URL.EscapedPath(), query: r.URL.RawQuery, from: r.RemoteAddr}
 }
 
 // readings collects both sides' readings by request id.
 type readings struct {
-	mu              sync.Mutex
-	callers         map[string]*reading
-	backend         map[string][]*reading
-	faults          []string
-	handlersRunning sync.WaitGroup
+	mu      sync.Mutex
+	callers map[string]*reading
+	backend map[string][]*reading
+	// inputs are those sent last, by the address of their connection: a fault may show while a later one is sent.
+	inputs map[string][]byte
+	faults []string
+	// running counts the handlers of callers' requests. A sync.WaitGroup must not be waited for while a late connection adds to it.
+	running int
+	idle    *sync.Cond
+}
+
+// maxRemembered bounds the inputs and the readings without a counterpart.
+const maxRemembered = 4096
+
+func newReadings() *readings {
+	s := &readings{callers: map[string]*reading{}, backend: map[string][]*reading{}, inputs: map[string][]byte{}}
+	s.idle = sync.NewCond(&s.mu)
+	return s
+}
+
+// sending notes the input of a connection.
+func (s *readings) sending(from string, data []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.inputs) >= maxRemembered {
+		clear(s.inputs)
+	}
+	if len(s.callers) >= maxRemembered {
+		clear(s.callers) // most were refused, and have no counterpart
+	}
+	s.inputs[from] = bytes.Clone(data)
+}
+
+// count adds to the handlers that are running.
+func (s *readings) count(change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running += change
+	s.idle.Broadcast()
+}
+
+// wait returns when no handler is running.
+func (s *readings) wait() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for s.running > 0 {
+		s.idle.Wait()
+	}
 }
 
 // tapBody keeps what the daemon reads of a caller's body.
@@ -53,8 +99,8 @@
 
 func (s *readings) wrapCallers(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.handlersRunning.Add(1)
-		defer s.handlersRunning.Done()
+		s.count(1)
+		defer s.count(-1)
 		got := readingOf(r)
 		got.whole = r.Body == http.NoBody
 		r.Body = &tapBody{ReadCloser: r.Body, to: got}
@@ -90,22 +136,25 @@
 	})
 }
 
-// check compares the readings of all requests whose handler has ended, and returns the faults found.
+// check compares the readings of all requests whose handler has ended, and returns the faults found since the last call, each
+// with the input that caused it.
 func (s *readings) check() []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	faults := s.faults
+	s.faults = nil
 	for id, list := range s.backend {
 		caller := s.callers[id]
 		if caller == nil {
 			continue // its handler has not ended, or the fault is already noted
 		}
 		for _, b := range list {
+			input := fmt.Sprintf("; the input was %q", s.inputs[caller.from])
 			switch {
 			case b.method != caller.method || b.path != caller.path || b.query != caller.query:
-				faults = append(faults, caller.method+" "+caller.path+"?"+caller.query+" became "+b.method+" "+b.path+"?"+b.query)
+				faults = append(faults, caller.method+" "+caller.path+"?"+caller.query+" became "+b.method+" "+b.path+"?"+b.query+input)
 			case !caller.whole || !bytes.Equal(b.body.Bytes(), caller.body.Bytes()):
-				faults = append(faults, "the body "+caller.body.String()+" became "+b.body.String())
+				faults = append(faults, "the body "+caller.body.String()+" became "+b.body.String()+input)
 			}
 		}
 		delete(s.backend, id)
@@ -131,7 +180,7 @@
 	} {
 		f.Add([]byte(seed))
 	}
-	s := &readings{callers: map[string]*reading{}, backend: map[string][]*reading{}}
+	s := newReadings()
 	limits := settings.Default().Limits
 	// Bytes that end in the middle of a request hold the connection for these times.
 	short := contract.Duration(20 * time.Millisecond)
@@ -144,10 +193,11 @@
 			t.Skip("no connection: ", err)
 		}
 		defer conn.Close()
+		s.sending(conn.LocalAddr().String(), data)
 		conn.SetDeadline(time.Now().Add(200 * time.Millisecond)) //nolint:errcheck // HTTP/2 connections stay open much longer
 		conn.Write(data)                                         //nolint:errcheck // the daemon may have closed the connection
 		io.Copy(io.Discard, conn)                                //nolint:errcheck // ends with the connection
-		s.handlersRunning.Wait()
+		s.wait()
 		for _, fault := range s.check() {
 			t.Error(fault)
 		}
