Describe the steps of entry and home, and put the context first

Cause: read by a newcomer, several steps of the request path had no comment, report took its context last, and takeState looked the same header up twice. No behaviour changes: the tests of entry, home and forward pass with the race detector.

--- a/internal/entry/answers_test.go
+++ b/internal/entry/answers_test.go
@@ -141,8 +141,7 @@
 			if (err != nil) != c.broken {
 				t.Errorf("the body ended with %v, want a broken connection: %v", err, c.broken)
 			}
-			switch {
-			case !c.broken && c.kind == "" && string(got) != c.body:
+			if !c.broken && c.kind == "" && string(got) != c.body {
 				t.Errorf("body %q, want %q", got, c.body)
 			}
 			if c.length != -2 && resp.ContentLength != c.length {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -122,10 +122,11 @@
 		o.Log = telemetry.Discard()
 	}
 	return &Entry{
-		limiter: o.Limiter, observer: o.Observer, budgets: retry.New(),
+		vm: o.VM, region: o.Locality.Region, snapshot: o.Snapshot, transport: o.Transport,
+		incarnation: o.Incarnation, memory: o.Memory, uploads: operation.NewUploads(uploadBudgetBytes),
+		leaving: o.Leaving, limiter: o.Limiter, observer: o.Observer, log: o.Log, trusted: o.TrustedProxies,
 		balancer: balance.New(balance.Options{Locality: o.Locality, Random: rand.NewPCG(o.Seed, o.Seed), Now: time.Now()}),
-		vm:       o.VM, region: o.Locality.Region, snapshot: o.Snapshot, transport: o.Transport, incarnation: o.Incarnation, memory: o.Memory,
-		uploads: operation.NewUploads(uploadBudgetBytes), leaving: o.Leaving, log: o.Log, trusted: o.TrustedProxies,
+		budgets:  retry.New(),
 	}
 }
 
@@ -188,6 +189,7 @@
 	e.budgets.Expire(now)
 }
 
+// fail counts the error and answers with it.
 func (e *Entry) fail(w http.ResponseWriter, err error) {
 	e.observer.Refused(errkind.Of(err))
 	writeError(w, err)
@@ -235,6 +237,7 @@
 	return &call{customer: customer, route: route, service: service}, nil
 }
 
+// apiKey returns the bearer token of the request, or "".
 func apiKey(r *http.Request) string {
 	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") {
@@ -252,6 +255,7 @@
 	return min(route.Deadline, time.Duration(ms)*time.Millisecond)
 }
 
+// writeError answers with the error, which is an internal one when it has no kind.
 func writeError(w http.ResponseWriter, err error) {
 	var e *errkind.Error
 	if !errors.As(err, &e) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -106,7 +106,7 @@
 	}
 	err := t.do(tryCtx, e.transport, r)
 	// The report comes before the cancellation, which would make a broken path look like a caller that left.
-	e.report(time.Now(), t, err, tryCtx)
+	e.report(tryCtx, time.Now(), t, err)
 	if err != nil {
 		e.logFailure(tryCtx, t, err)
 		t.cancel()
@@ -132,7 +132,7 @@
 }
 
 // report tells the balancer how a try ended: what concerns the backend server, what the path, and what neither.
-func (e *Entry) report(now time.Time, t *try, err error, ctx context.Context) {
+func (e *Entry) report(ctx context.Context, now time.Time, t *try, err error) {
 	if t.response != nil {
 		e.takeState(now, t)
 	}
@@ -157,13 +157,18 @@
 	}
 }
 
+// takeState hands the state of the backend server that the home told to the balancer. Some refusals tell none.
 func (e *Entry) takeState(now time.Time, t *try) {
-	state, err := balance.ParseState(t.response.Header.Get(forward.HeaderState))
-	if err == nil && t.response.Header.Get(forward.HeaderState) != "" {
+	text := t.response.Header.Get(forward.HeaderState)
+	if text == "" {
+		return
+	}
+	if state, err := balance.ParseState(text); err == nil {
 		e.balancer.Update(now, t.call.service.Name, t.backend.ID, state)
 	}
 }
 
+// serviceTime returns the backend server's own time as the home measured it, or 0 when it is missing or malformed.
 func serviceTime(resp *http.Response) time.Duration {
 	us, err := strconv.ParseInt(resp.Header.Get(forward.HeaderServiceTime), 10, 64)
 	if err != nil || us < 0 {
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -67,6 +67,7 @@
 	return nil
 }
 
+// request returns what is sent to the home, or to the owner of the operation key.
 func (t *try) request(ctx context.Context, r *http.Request) *http.Request {
 	u := &url.URL{Scheme: "http", Host: t.address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
 	out := (&http.Request{
@@ -90,7 +91,7 @@
 		forward.SetDeadline(h, time.Until(deadline))
 	}
 	if h.Get("User-Agent") == "" {
-		h.Set("User-Agent", "")
+		h.Set("User-Agent", "") // an empty value keeps net/http from adding its own
 	}
 	t.attachBody(out)
 	return out
@@ -118,6 +119,7 @@
 	}
 }
 
+// attachBody gives the request its body, with the proof of its end.
 func (t *try) attachBody(out *http.Request) {
 	body := t.call.body
 	if t.toOwner {
@@ -139,6 +141,7 @@
 	forward.AttachOutgoing(out, reader)
 }
 
+// classify gives the error of a try without a response its kind: the caller's side first, then the path and the time.
 func (t *try) classify(ctx context.Context, err error) error {
 	failure := t.call.body.failure()
 	if errors.Is(failure, errTooLarge) {
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -105,6 +105,8 @@
 	return x.bufferSmall(ctx)
 }
 
+// request returns what the backend server gets. Of the headers of the system these are the deadline, the request id and the
+// customer.
 func (x *exchange) request(ctx context.Context, r *http.Request) *http.Request {
 	target := &url.URL{Scheme: "http", Host: x.address, Path: r.URL.Path, RawPath: r.URL.RawPath, RawQuery: r.URL.RawQuery}
 	out := (&http.Request{
@@ -165,6 +167,7 @@
 	return errkind.New(errkind.AnswerInvalid, "the response has neither a length nor chunked encoding, so its end cannot be checked")
 }
 
+// bufferSmall reads a small body whole, so that a cut becomes an error in place of a broken stream.
 func (x *exchange) bufferSmall(ctx context.Context) error {
 	resp := x.response
 	if resp.ContentLength < 0 || resp.ContentLength > bufferedResponseBytes || resp.Request.Method == http.MethodHead {
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -173,6 +173,7 @@
 	return priority
 }
 
+// refuse answers with an error of the system and the state of the backend server.
 func (h *Home) refuse(w http.ResponseWriter, m *member, err error) {
 	w.Header().Set(forward.HeaderState, m.header(time.Now(), h.Leaving()))
 	var e *errkind.Error
@@ -182,6 +183,7 @@
 	forward.WriteError(w, e)
 }
 
+// exchange hands an admitted request over and passes the response on. The caller holds a slot.
 func (h *Home) exchange(ctx context.Context, w http.ResponseWriter, r *http.Request, m *member) {
 	forward.ReceiveRequest(r)
 	x := &exchange{transport: h.transport, address: m.address}
