--- a/examples/local/main.go
+++ b/examples/local/main.go
@@ -7,21 +7,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"runtime"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/ejection"
-	"github.com/cowsliprun/cowsliprun/internal/errkind"
-	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/standin/backend"
 	"github.com/cowsliprun/cowsliprun/internal/standin/fleet"
 )
@@ -32,6 +26,8 @@
 	apiKey          = "grocer-key"
 	startLimit      = 30 * time.Second
 	loadInterval    = 10 * time.Millisecond
+	lateAfter       = 100 * time.Millisecond
+	lookupTimeout   = 5 * time.Second
 	reportInterval  = 2 * time.Second
 )
 
@@ -134,95 +130,12 @@
   $FLEET/cowslipctl drain --admin 127.0.0.1:18203 --yes --wait
 `
 
-// load sends lookups through all daemons until ctx ends and counts the answers.
-type load struct {
-	client         *http.Client
-	answered, late atomic.Int64
-	failed         atomic.Int64
-	// lastFailure says why the last failed lookup failed.
-	lastFailure atomic.Value
-}
-
-func (l *load) run(ctx context.Context, f *fleet.Fleet) {
-	ticker := time.NewTicker(loadInterval)
-	defer ticker.Stop()
-	urls := make([]string, len(callers))
-	for i := range urls {
-		urls[i] = f.CallersURL(fmt.Sprintf("vm%d", i+1)) + "/stock/7"
-	}
-	for i := 0; ; i++ {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			go l.lookup(ctx, urls, i)
-		}
-	}
-}
-
-// lookup sends one lookup through the daemons in turn, beginning with the one at first. As any caller of a fleet should, it goes on to
-// the next one when a daemon is not there or has no configuration yet: then nothing of the request ran.
-func (l *load) lookup(ctx context.Context, urls []string, first int) {
-	start := time.Now()
-	var got answer
-	for i := range urls {
-		got = l.send(ctx, urls[(first+i)%len(urls)])
-		if !got.isUnready() {
-			break
-		}
-	}
-	switch {
-	case ctx.Err() != nil:
-	case got.err != nil || got.status != http.StatusOK:
-		l.failed.Add(1)
-		l.lastFailure.Store(got.String())
-	case time.Since(start) > 100*time.Millisecond:
-		l.late.Add(1)
-	default:
-		l.answered.Add(1)
-	}
-}
-
-// answer is what a caller got from one daemon.
-type answer struct {
-	status int
-	kind   string
-	err    error
-}
-
-func (a answer) isUnready() bool {
-	var op *net.OpError
-	return errors.As(a.err, &op) && op.Op == "dial" || a.kind == errkind.NoConfiguration.String()
-}
-
-func (a answer) String() string {
-	if a.err != nil {
-		return a.err.Error()
-	}
-	return fmt.Sprintf("status %d %s", a.status, a.kind)
-}
-
-func (l *load) send(ctx context.Context, url string) answer {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return answer{err: err}
-	}
-	req.Header.Set("Authorization", "Bearer "+apiKey)
-	resp, err := l.client.Do(req)
-	if err != nil {
-		return answer{err: err}
-	}
-	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return answer{resp.StatusCode, resp.Header.Get(forward.HeaderErrorKind), err}
-}
-
 // watch sends a light load and reports the mode of the gray backend server until ctx ends.
 func watch(ctx context.Context, f *fleet.Fleet) {
-	l := &load{client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
+	l := f.NewLoad(fleet.LoadOptions{Path: "/stock/7", Key: apiKey, Interval: loadInterval, LateAfter: lateAfter, Timeout: lookupTimeout})
 	loadCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go l.run(loadCtx, f)
+	go l.Run(loadCtx)
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
 	for {
@@ -235,17 +148,17 @@
 	}
 }
 
-func report(l *load, modes map[string]string) string {
+func report(l *fleet.Load, modes map[string]string) string {
 	out := 0
 	for _, mode := range modes {
 		if mode == "ejected" || mode == "probing" {
 			out++
 		}
 	}
-	failed, why := l.failed.Swap(0), ""
+	failed, why := l.Failed.Swap(0), ""
 	if failed > 0 {
-		why = fmt.Sprintf(" (the last: %v)", l.lastFailure.Load())
+		why = fmt.Sprintf(" (the last: %v)", l.LastFailure())
 	}
 	return fmt.Sprintf("last 2 s: %3d in time, %2d late, %d failed%s | %s is %s, %d of %d backend servers in service",
-		l.answered.Swap(0), l.late.Swap(0), failed, why, grayBackend, modes[grayBackend], len(modes)-out, len(modes))
+		l.Answered.Swap(0), l.Late.Swap(0), failed, why, grayBackend, modes[grayBackend], len(modes)-out, len(modes))
 }
--- /dev/null
+++ b/internal/standin/fleet/load.go
@@ -0,0 +1,137 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	"github.com/cowsliprun/cowsliprun/internal/forward"
+)
+
+// LoadOptions of NewLoad.
+type LoadOptions struct {
+	// Path is looked up with the API key Key.
+	Path, Key string
+	// Interval is the time between two lookups. They go to the daemons in turn.
+	Interval time.Duration
+	// LateAfter is the time after which an answer counts as late, Timeout the one after which a lookup has failed.
+	LateAfter, Timeout time.Duration
+	// InTime is told the time of each answer that is not late. It may be nil.
+	InTime func(took time.Duration)
+}
+
+// Load sends lookups at a constant rate through all daemons and counts how they end.
+type Load struct {
+	options LoadOptions
+	fleet   *Fleet
+	client  *http.Client
+
+	// Answered counts the answers in time.
+	Answered, Late, Failed atomic.Int64
+	lastFailure            atomic.Value
+}
+
+// loadConnections are the idle connections kept to each daemon, so that a lookup seldom waits for a new one.
+const loadConnections = 256
+
+// NewLoad returns a load that Run starts.
+func (f *Fleet) NewLoad(o LoadOptions) *Load {
+	if o.InTime == nil {
+		o.InTime = func(time.Duration) {}
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: loadConnections}
+	return &Load{options: o, fleet: f, client: &http.Client{Timeout: o.Timeout, Transport: transport}}
+}
+
+// Run sends lookups until ctx ends.
+func (l *Load) Run(ctx context.Context) {
+	var urls []string
+	for _, vm := range l.fleet.Documents().VMs {
+		urls = append(urls, l.fleet.CallersURL(vm.VM)+l.options.Path)
+	}
+	Every(ctx, l.options.Interval, func(i int) { go l.lookup(ctx, urls, i) })
+}
+
+// Every calls do at a constant rate until ctx ends. A call that comes late does not delay those after it.
+func Every(ctx context.Context, interval time.Duration, do func(i int)) {
+	start := time.Now()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(time.Until(start.Add(time.Duration(i) * interval))):
+			do(i)
+		}
+	}
+}
+
+// lookup sends one lookup to the daemons in turn, beginning with the one at first. As any caller of a fleet should, it goes on to the
+// next one when a daemon is not there or has no configuration yet: then nothing of the request ran.
+func (l *Load) lookup(ctx context.Context, urls []string, first int) {
+	start := time.Now()
+	var got answer
+	for i := range urls {
+		got = l.send(ctx, urls[(first+i)%len(urls)])
+		if !got.isUnready() {
+			break
+		}
+	}
+	took := time.Since(start)
+	switch {
+	case ctx.Err() != nil:
+	case got.err != nil || got.status != http.StatusOK:
+		l.Failed.Add(1)
+		l.lastFailure.Store(got.String())
+	case took > l.options.LateAfter:
+		l.Late.Add(1)
+	default:
+		l.Answered.Add(1)
+		l.options.InTime(took)
+	}
+}
+
+// LastFailure says why the last failed lookup failed, or is empty.
+func (l *Load) LastFailure() string {
+	text, _ := l.lastFailure.Load().(string)
+	return text
+}
+
+// answer is what a caller got from one daemon.
+type answer struct {
+	status int
+	kind   string
+	err    error
+}
+
+func (a answer) isUnready() bool {
+	var op *net.OpError
+	return errors.As(a.err, &op) && op.Op == "dial" || a.kind == errkind.NoConfiguration.String()
+}
+
+func (a answer) String() string {
+	if a.err != nil {
+		return a.err.Error()
+	}
+	return fmt.Sprintf("status %d %s", a.status, a.kind)
+}
+
+func (l *Load) send(ctx context.Context, url string) answer {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return answer{err: err}
+	}
+	req.Header.Set("Authorization", "Bearer "+l.options.Key)
+	resp, err := l.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return answer{resp.StatusCode, resp.Header.Get(forward.HeaderErrorKind), err}
+}
