Prove the checks of revisions and generations one by one

platform_stale passed even when both the store and the merge accepted older values: a daemon does not ask the platform for a lower revision, and a starting daemon also asks its peers.

The check of revisions in the store is reached when a stale platform answers late, after a peer has supplied a newer value. Processes cannot be made to answer in this order every time, so a model test in virtual time does it.

--- a/internal/configsync/scenario_test.go
+++ b/internal/configsync/scenario_test.go
@@ -39,6 +39,49 @@
 	})
 }
 
+// Guards against a store that takes a lower revision: a stale platform answers a starting daemon late, after a peer has supplied a
+// newer value, so that the daemon's own question does not keep the older one away.
+func TestLateAnswerOfStalePlatformReplacesNothing(t *testing.T) {
+	for seed := range uint64(20) {
+		m := newModel(2, seed)
+		m.platform.put("contracts/000", "new")
+		peer, fresh := m.daemons[0], m.daemons[1]
+		for _, name := range []string{VMsName, IndexName, "contracts/000", "contracts/001"} {
+			v := m.platform.at(name)
+			peer.syncer.Receive(m.now, SourcePlatform, []Value{{Revision: Revision{Name: name, Revision: v.Revision}, Data: Compress(v.Data)}})
+		}
+		m.apply(peer)
+		m.platform.upTo = 4
+		late := 0
+		for range 20 {
+			m.now = m.now.Add(readerPause)
+			m.read(fresh)
+			if len(m.packets) == 0 {
+				continue
+			}
+			if step := m.packets[len(m.packets)-1]; len(fresh.syncer.read.order) > 0 && fresh.syncer.read.order[0] == "contracts/000" {
+				late++
+				m.packets = m.packets[:len(m.packets)-1]
+				m.exchange(fresh)
+				for len(m.packets) > 0 {
+					m.deliver(0, false)
+				}
+				m.packets = append(m.packets, step)
+			}
+			for len(m.packets) > 0 {
+				m.deliver(0, false)
+			}
+		}
+		m.apply(fresh)
+		if held, inForce := fresh.syncer.store.Revision("contracts/000"), fresh.syncer.InForce("contracts/000"); held != 5 || inForce != 5 {
+			t.Errorf("seed %d: holds revision %d, %d in force, want 5, which the peer supplied", seed, held, inForce)
+		}
+		if late == 0 {
+			t.Errorf("seed %d: no late answer", seed)
+		}
+	}
+}
+
 // Guards against a reader that waits for a restored platform to pass its own cursor and misses what changes before.
 func TestRestoredPlatformIsReadBelowTheCursor(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
