Add a scenario of two regions that lose each other

No scenario had more than one region. regions_cut has four VMs in four data centres and two regions. All links between the regions are cut both ways while loads run in both regions, a contract changes, one backend server of each service and region is slow and a limit is used up in both regions. The check covers whole answers, executions, the floor, admissions against the fixed parts of the limit, and the configuration on all daemons after the heal. No lookup, note or operation within a region may stay without an answer; operations that cross may.

The platform is reachable from both regions during the first change and from one only during the second. For that, relays now also stand between daemons and the platform, and cut and heal take lists.

--- a/internal/standin/fleet/daemon.go
+++ b/internal/standin/fleet/daemon.go
@@ -47,7 +47,7 @@
 	s := settingsFile{
 		VM: vm.VM, DataCentre: vm.DataCentre, Region: f.regionOf(vm.DataCentre),
 		Listen:   settings.Listen{Callers: f.callers[vm.VM], Peer: f.peerListen(vm), Admin: vm.AdminAddress},
-		Platform: platformSettings{URLs: []string{f.PlatformURL()}},
+		Platform: platformSettings{URLs: []string{f.platformFor(vm.VM)}},
 		Log:      settings.Log{Level: "info", Format: "logfmt"},
 	}
 	for _, other := range f.listed() {
@@ -66,6 +66,13 @@
 	return vm.PeerAddress
 }
 
+func (f *Fleet) platformFor(vm string) string {
+	if f.opts.PlatformFor != nil {
+		return f.opts.PlatformFor(vm)
+	}
+	return f.PlatformURL()
+}
+
 func (f *Fleet) regionOf(dataCentre string) string {
 	for _, dc := range f.documents.DataCentres {
 		if dc.DataCentre == dataCentre {
--- a/internal/standin/fleet/fleet.go
+++ b/internal/standin/fleet/fleet.go
@@ -49,6 +49,8 @@
 	// PeerListen returns the address on which the daemon of a VM listens for peers, when the address of the VM document is
 	// that of a relay. Default: the address of the VM document.
 	PeerListen func(vm contract.VM) string
+	// PlatformFor returns the URL at which the daemon of a VM reaches the platform. Default: PlatformURL.
+	PlatformFor func(vm string) string
 }
 
 // Fleet is a running fleet.
--- a/test/scenario/relay_test.go
+++ b/test/scenario/relay_test.go
@@ -14,7 +14,7 @@
 // sourceTries bounds the reads of the system's table for one connection.
 const sourceTries = 40
 
-// path is one direction between two daemons.
+// path is one direction between two daemons, or between a daemon and the platform.
 type path struct{ from, to string }
 
 // paths holds the directions that are cut.
@@ -202,15 +202,23 @@
 	return "", fmt.Errorf("no connection from %s", conn.RemoteAddr())
 }
 
-// cmdCut holds back all bytes from one daemon to another, also on connections that the other one opened: cut FROM TO.
+// cmdCut holds back all bytes from some daemons to others, also on connections that the others opened: cut FROM[,FROM] TO[,TO]. One
+// end may be the platform.
 func cmdCut(ts *testscript.TestScript, w *world, args []string) { w.setCut(ts, args, true) }
 
-// cmdHeal opens the direction again: heal FROM TO.
+// cmdHeal opens the directions again: heal FROM[,FROM] TO[,TO].
 func cmdHeal(ts *testscript.TestScript, w *world, args []string) { w.setCut(ts, args, false) }
 
 func (w *world) setCut(ts *testscript.TestScript, args []string, cut bool) {
-	if len(args) != 2 || w.relays[args[0]] == nil || w.relays[args[1]] == nil {
-		ts.Fatalf("usage: cut|heal FROM TO, with two VMs")
+	if len(args) != 2 {
+		ts.Fatalf("usage: cut|heal FROM[,FROM] TO[,TO]")
+	}
+	for from := range strings.SplitSeq(args[0], ",") {
+		for to := range strings.SplitSeq(args[1], ",") {
+			if w.relays[from] == nil || w.relays[to] == nil {
+				ts.Fatalf("no path from %s to %s", from, to)
+			}
+			w.paths.set(path{from, to}, cut)
+		}
 	}
-	w.paths.set(path{args[0], args[1]}, cut)
 }
--- a/test/scenario/world_test.go
+++ b/test/scenario/world_test.go
@@ -23,6 +23,9 @@
 // hangLimit guards against a scenario that waits for ever. It is no bound of performance: conditions hold within seconds.
 const hangLimit = 90 * time.Second
 
+// platformName is the name of the platform's process, and of its end of the paths that cut takes.
+const platformName = "platform"
+
 // world is the fleet of one scenario with what drives and watches it.
 type world struct {
 	dir       string
@@ -73,8 +76,8 @@
 	Slots       int                   `yaml:"slots"`
 	Services    []contract.Service    `yaml:"services"`
 	Contracts   []contract.Contract   `yaml:"contracts"`
-	// Relays leads the traffic between daemons through relays, which cut needs. A relay accepts connections while its daemon is
-	// dead, so scenarios that kill daemons do without.
+	// Relays leads the traffic between daemons, and from daemons to the platform, through relays, which cut needs. A relay accepts
+	// connections while its daemon is dead, so scenarios that kill daemons do without.
 	Relays bool `yaml:"relays"`
 }
 
@@ -129,10 +132,19 @@
 		ts.Check(err)
 		w.relays[vm.VM] = r
 	}
+	platform := freeAddress()
+	readers := platform
+	if l.Relays {
+		readers = freeAddress()
+		r, err := newRelay(platformName, readers, platform, w.paths, w.daemonOf)
+		ts.Check(err)
+		w.relays[platformName] = r
+	}
 	w.fleet = fleet.New(fleet.Options{
-		Bin: programs, Dir: w.dir, Platform: freeAddress(), Documents: docs,
-		Callers:    func(vm string) string { return w.callers[vm] },
-		PeerListen: func(vm contract.VM) string { return listen[vm.VM] },
+		Bin: programs, Dir: w.dir, Platform: platform, Documents: docs,
+		Callers:     func(vm string) string { return w.callers[vm] },
+		PeerListen:  func(vm contract.VM) string { return listen[vm.VM] },
+		PlatformFor: func(string) string { return "http://" + readers },
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
 	defer cancel()
