--- a/test/scenario/transfer_test.go
+++ b/test/scenario/transfer_test.go
@@ -19,23 +19,34 @@
 	parked  atomic.Bool
 	release chan struct{}
 	result  chan error
+	ctx     context.Context
+	abandon context.CancelFunc
 }
 
 // cmdTransfer starts a transfer, which parks half-way, or lets it end and checks it:
-// transfer upload|download NAME VM BYTES, transfer finish NAME.
+// transfer upload|download NAME VM BYTES, transfer finish NAME. transfer abandon NAME breaks it off, as its caller would.
 func cmdTransfer(ts *testscript.TestScript, w *world, args []string) {
 	if len(args) == 2 && args[0] == "finish" && w.transfers[args[1]] != nil {
 		t := w.transfers[args[1]]
+		defer t.abandon()
 		close(t.release)
 		ts.Check(<-t.result)
 		return
 	}
+	if len(args) == 2 && args[0] == "abandon" && w.transfers[args[1]] != nil {
+		t := w.transfers[args[1]]
+		t.abandon()
+		close(t.release)
+		<-t.result
+		return
+	}
 	if len(args) != 4 {
-		ts.Fatalf("usage: transfer upload|download NAME VM BYTES, transfer finish NAME")
+		ts.Fatalf("usage: transfer upload|download NAME VM BYTES, transfer finish|abandon NAME")
 	}
 	size, err := strconv.ParseInt(args[3], 10, 64)
 	ts.Check(err)
 	t := &transfer{release: make(chan struct{}), result: make(chan error, 1)}
+	t.ctx, t.abandon = context.WithTimeout(context.Background(), hangLimit)
 	run := map[string]func(string, int64) error{"upload": t.upload, "download": t.download}[args[0]]
 	if run == nil {
 		ts.Fatalf("unknown transfer %q", args[0])
@@ -97,10 +108,8 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
-	context.AfterFunc(ctx, cancel)
 	req.Header.Set("Authorization", "Bearer shop-key")
-	resp, err := http.DefaultTransport.RoundTrip(req.WithContext(ctx))
+	resp, err := http.DefaultTransport.RoundTrip(req.WithContext(t.ctx))
 	if err != nil {
 		return nil, err
 	}
