Report processes that end by themselves in every scenario

ejected_changes failed once with "process already finished" at the resume of vm3. The record of that run is lost, so the cause stays unproved. What the code rules out: - The script ends no process between the pause and the resume of vm3, and the test program kills all only at its end. Signals go through process handles, so a reused process id cannot be hit. - A process whose threads are all stopped runs nothing, so the daemon cannot exit or crash by itself then. Only SIGKILL ends it, or SIGCONT with another signal, and the scenario sends neither.

The daemon's side could not be judged because its exit status and log were not kept. Resume prints both since then; check now does so for every process that ended without having been killed or asked to stop, so that a crash is a failure also where other VMs make up for it.

--- a/test/scenario/check_test.go
+++ b/test/scenario/check_test.go
@@ -14,8 +14,8 @@
 const maxShown = 8
 
 // cmdCheck stops all loads and requires that no caller got a partial or foreign answer, that nothing ran more than once, that
-// nobody was told not-run of a request that ran, that every answered operation ran, and that the floor was held. At most N
-// requests of a load may stay without an answer: check [NAME=N|any...], default 0.
+// nobody was told not-run of a request that ran, that every answered operation ran, that the floor was held, and that no process
+// ended by itself. At most N requests of a load may stay without an answer: check [NAME=N|any...], default 0.
 func cmdCheck(ts *testscript.TestScript, w *world, args []string) {
 	allowed := map[string]int{}
 	for _, arg := range args {
@@ -52,6 +52,7 @@
 		violations = append(violations, l.violations(ts, executions, allowed[name])...)
 	}
 	violations = append(violations, w.floor.stop()...)
+	violations = append(violations, w.endedBySelf()...)
 	if len(violations) > 0 {
 		ts.Fatalf("%d violations:\n%s", len(violations), strings.Join(violations[:min(len(violations), maxShown)], "\n"))
 	}
--- a/test/scenario/commands_test.go
+++ b/test/scenario/commands_test.go
@@ -59,6 +59,7 @@
 func cmdKill(ts *testscript.TestScript, w *world, args []string) {
 	for _, name := range w.expand(args) {
 		p := w.process(ts, name)
+		w.setMayEnd(name, true)
 		w.daemonStopped(name)
 		p.Kill()
 	}
@@ -91,8 +92,7 @@
 	for _, name := range w.expand(args) {
 		p := w.process(ts, name)
 		if err := p.Signal(syscall.SIGCONT); err != nil {
-			log, _ := os.ReadFile(p.Log)
-			ts.Fatalf("%s: %v, ended with %v; the end of its log:\n%s", name, err, p.Err(), log[max(0, len(log)-2000):])
+			ts.Fatalf("%v: %s", err, endOf(p))
 		}
 		w.setPaused(name, false)
 	}
@@ -101,6 +101,7 @@
 // cmdTerm asks processes to stop with SIGTERM and does not wait: term NAME...
 func cmdTerm(ts *testscript.TestScript, w *world, args []string) {
 	for _, name := range w.expand(args) {
+		w.setMayEnd(name, true)
 		ts.Check(w.process(ts, name).Signal(syscall.SIGTERM))
 	}
 }
@@ -108,6 +109,7 @@
 // cmdStart starts processes that have ended: start NAME...
 func cmdStart(ts *testscript.TestScript, w *world, args []string) {
 	for _, name := range w.expand(args) {
+		w.setMayEnd(name, false)
 		if w.fleet.Daemons[name] != nil {
 			ts.Check(w.startDaemon(name))
 			continue
@@ -132,6 +134,7 @@
 
 // cmdDrain drains a daemon by its admin listener: drain VM.
 func cmdDrain(ts *testscript.TestScript, w *world, args []string) {
+	w.setMayEnd(args[0], true)
 	w.send(ts, http.MethodPost, w.admins[args[0]]+"/v1/drain", admin.DrainRequest{Operator: "scenario"})
 }
 
--- a/test/scenario/world_test.go
+++ b/test/scenario/world_test.go
@@ -42,13 +42,14 @@
 	mu     sync.Mutex
 	pids   map[string]int  // of the daemons that run now, by VM
 	paused map[string]bool // daemons that are stopped by a signal and respond to nothing
+	mayEnd map[string]bool // processes that the script killed or asked to stop
 }
 
 func newWorld(dir string) *world {
 	return &world{
 		dir: dir, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}, relays: map[string]*relay{}, paths: newPaths(),
 		loads: map[string]*load{}, transfers: map[string]*transfer{}, callers: map[string]string{}, admins: map[string]string{}, pids: map[string]int{},
-		paused: map[string]bool{},
+		paused: map[string]bool{}, mayEnd: map[string]bool{},
 	}
 }
 
@@ -174,6 +175,37 @@
 	return nil
 }
 
+func (w *world) setMayEnd(name string, mayEnd bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mayEnd[name] = mayEnd
+}
+
+// endedBySelf describes the processes that ended although the script neither killed them nor asked them to stop.
+func (w *world) endedBySelf() []string {
+	processes := maps.Clone(w.fleet.Daemons)
+	maps.Copy(processes, w.fleet.Backends)
+	processes[platformName] = w.fleet.Platform
+	var list []string
+	for name, p := range processes {
+		select {
+		case <-p.Exited():
+			if !w.mayEnd[name] {
+				list = append(list, endOf(p))
+			}
+		default:
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// endOf describes how a process ended, with the end of its log.
+func endOf(p *fleet.Process) string {
+	log, _ := os.ReadFile(p.Log)
+	return fmt.Sprintf("%s ended with %v; the end of its log:\n%s", p.Name, p.Err(), log[max(0, len(log)-2000):])
+}
+
 func (w *world) daemonStopped(vm string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
