--- a/test/scenario/load_test.go
+++ b/test/scenario/load_test.go
@@ -46,6 +46,7 @@
 	key        string
 	pause      time.Duration
 	client     *http.Client
+	http       int // the major version that responses must come with, 0 for any
 	cancel     context.CancelFunc
 	done       sync.WaitGroup
 	begun      time.Time
@@ -79,14 +80,15 @@
 
 type counts struct{ answered, failed, limited int }
 
-// cmdLoad starts or stops a load: load start NAME lookup|note|operation [via=VM,VM] [customer=NAME] [pause=TIME], load stop NAME.
+// cmdLoad starts or stops a load: load start NAME lookup|note|operation [via=VM,VM] [customer=NAME] [pause=TIME]
+// [http=1|2], load stop NAME. HTTP/2 is without TLS, with one connection to each VM.
 func cmdLoad(ts *testscript.TestScript, w *world, args []string) {
 	if len(args) == 2 && args[0] == "stop" && w.loads[args[1]] != nil {
 		w.loads[args[1]].stop()
 		return
 	}
 	if len(args) < 3 || args[0] != "start" || w.loads[args[1]] != nil {
-		ts.Fatalf("usage: load start NAME KIND [via=VM,VM] [customer=NAME] [pause=TIME], load stop NAME")
+		ts.Fatalf("usage: load start NAME KIND [via=VM,VM] [customer=NAME] [pause=TIME] [http=1|2], load stop NAME")
 	}
 	l := &load{
 		name: args[1], kind: args[2], world: w, key: "shop-key", pause: loadPause,
@@ -106,6 +108,14 @@
 			pause, err := time.ParseDuration(value)
 			ts.Check(err)
 			l.pause = pause
+		case "http":
+			major, err := strconv.Atoi(value)
+			ts.Check(err)
+			var protocols http.Protocols
+			protocols.SetHTTP1(major == 1)
+			protocols.SetUnencryptedHTTP2(major == 2)
+			l.http = major
+			l.client.Transport.(*http.Transport).Protocols = &protocols
 		default:
 			ts.Fatalf("unknown option %q", option)
 		}
@@ -281,6 +291,9 @@
 	}
 	defer resp.Body.Close()
 	want.judge(resp, &a)
+	if l.http != 0 && resp.ProtoMajor != l.http {
+		a.fault = "the response came with " + resp.Proto
+	}
 	return a
 }
 
