--- a/test/scenario/world_test.go
+++ b/test/scenario/world_test.go
@@ -23,6 +23,9 @@
 // hangLimit guards against a scenario that waits for ever. It is no bound of performance: conditions hold within seconds.
 const hangLimit = 90 * time.Second
 
+// platformName is the name of the platform's process, and of its end of the paths that cut takes.
+const platformName = "platform"
+
 // world is the fleet of one scenario with what drives and watches it.
 type world struct {
 	dir       string
@@ -40,13 +43,14 @@
 	mu     sync.Mutex
 	pids   map[string]int  // of the daemons that run now, by VM
 	paused map[string]bool // daemons that are stopped by a signal and respond to nothing
+	mayEnd map[string]bool // processes that the script killed or asked to stop
 }
 
 func newWorld(dir string) *world {
 	return &world{
 		dir: dir, client: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{}}, relays: map[string]*relay{}, paths: newPaths(),
 		loads: map[string]*load{}, transfers: map[string]*transfer{}, callers: map[string]string{}, admins: map[string]string{}, pids: map[string]int{},
-		paused: map[string]bool{}, addresses: newPageAddresses(),
+		paused: map[string]bool{}, mayEnd: map[string]bool{}, addresses: newPageAddresses(),
 	}
 }
 
@@ -74,8 +78,8 @@
 	Slots       int                   `yaml:"slots"`
 	Services    []contract.Service    `yaml:"services"`
 	Contracts   []contract.Contract   `yaml:"contracts"`
-	// Relays leads the traffic between daemons through relays, which cut needs. A relay accepts connections while its daemon is
-	// dead, so scenarios that kill daemons do without.
+	// Relays leads the traffic between daemons, and from daemons to the platform, through relays, which cut needs. A relay accepts
+	// connections while its daemon is dead, so scenarios that kill daemons do without.
 	Relays bool `yaml:"relays"`
 }
 
@@ -135,10 +139,18 @@
 		ts.Check(err)
 		w.relays[vm.VM] = r
 	}
+	readers := platform
+	if relays {
+		readers = freeAddress()
+		r, err := newRelay(platformName, readers, platform, w.paths, w.daemonOf)
+		ts.Check(err)
+		w.relays[platformName] = r
+	}
 	w.fleet = fleet.New(fleet.Options{
 		Bin: programs, Dir: w.dir, Platform: platform, Documents: docs,
-		Callers:    func(vm string) string { return w.callers[vm] },
-		PeerListen: func(vm contract.VM) string { return listen[vm.VM] },
+		Callers:     func(vm string) string { return w.callers[vm] },
+		PeerListen:  func(vm contract.VM) string { return listen[vm.VM] },
+		PlatformFor: func(string) string { return "http://" + readers },
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
 	defer cancel()
@@ -168,6 +180,37 @@
 	return nil
 }
 
+func (w *world) setMayEnd(name string, mayEnd bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.mayEnd[name] = mayEnd
+}
+
+// endedBySelf describes the processes that ended although the script neither killed them nor asked them to stop.
+func (w *world) endedBySelf() []string {
+	processes := maps.Clone(w.fleet.Daemons)
+	maps.Copy(processes, w.fleet.Backends)
+	processes[platformName] = w.fleet.Platform
+	var list []string
+	for name, p := range processes {
+		select {
+		case <-p.Exited():
+			if !w.mayEnd[name] {
+				list = append(list, endOf(p))
+			}
+		default:
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// endOf describes how a process ended, with the end of its log.
+func endOf(p *fleet.Process) string {
+	log, _ := os.ReadFile(p.Log)
+	return fmt.Sprintf("%s ended with %v; the end of its log:\n%s", p.Name, p.Err(), log[max(0, len(log)-2000):])
+}
+
 func (w *world) daemonStopped(vm string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
