Judge the errors of a window after a settle time of their own

Cause: one settle time served both tests.

Change: errorSettle, with the value of settle in both presets.

The message about a too large evidenceCap named the number in another spelling.

--- a/internal/ejection/config.go
+++ b/internal/ejection/config.go
@@ -36,6 +36,7 @@
 	ErrorMargin      float64
 	ErrorRatio       float64
 	ErrorThreshold   float64
+	ErrorSettle      float64
 	InvalidWeight    float64
 	ColdStart        float64
 	SuspectShare     float64
@@ -65,7 +66,7 @@
 
 var numbers = []Number{
 	{"window", "s", "length of one evidence window", 0.05, 2, false, func(c *Config) *float64 { return &c.Window }},
-	{"settle", "s", "wait before a window is judged, so that baselines can follow a change of the whole service", 0, 5, false, func(c *Config) *float64 { return &c.Settle }},
+	{"settle", "s", "wait before the service times of a window are judged, so that baselines can follow a change of the whole service", 0, 5, false, func(c *Config) *float64 { return &c.Settle }},
 	{"slowRatio", "ratio", "service time over baseline below which a sample is never evidence of slowness", 1.1, 10, false, func(c *Config) *float64 { return &c.SlowRatio }},
 	{"drift", "spreads", "subtracted from each sample's log ratio; larger means fewer false ejections and less sensitivity", 0.1, 2, false, func(c *Config) *float64 { return &c.Drift }},
 	{"clip", "spreads", "largest log ratio that one sample contributes, either way", 1, 5, false, func(c *Config) *float64 { return &c.Clip }},
@@ -81,6 +82,7 @@
 	{"errorMargin", "ratio", "factor on the baseline error share that is still normal", 1, 10, false, func(c *Config) *float64 { return &c.ErrorMargin }},
 	{"errorRatio", "ratio", "error share tested for, over the normal error share", 2, 50, false, func(c *Config) *float64 { return &c.ErrorRatio }},
 	{"errorThreshold", "evidence", "error evidence (natural log of the likelihood ratio) at which the backend server is suspect", 4, 200, false, func(c *Config) *float64 { return &c.ErrorThreshold }},
+	{"errorSettle", "s", "wait before the errors of a window are judged, so that baselines can follow a burst of errors of the whole service", 0, 5, false, func(c *Config) *float64 { return &c.ErrorSettle }},
 	{"invalidWeight", "errors", "number of errors that one wrong or truncated answer counts as", 1, 5, false, func(c *Config) *float64 { return &c.InvalidWeight }},
 	{"coldStart", "s", "time after the start of the home in which nothing is evidence and concurrency grows", 0, 600, false, func(c *Config) *float64 { return &c.ColdStart }},
 	{"suspectShare", "share", "share of the slots in use while suspect, at least one slot", 0.1, 1, false, func(c *Config) *float64 { return &c.SuspectShare }},
@@ -103,7 +105,7 @@
 		Window: 0.1, Settle: 0.9,
 		SlowRatio: 1.5, Drift: 0.5, Clip: 2, EvidenceCap: 3, RecoveryCap: 2, LatencyThreshold: 16,
 		MinSpread: 0.5, MaxSpread: 1.5, MinSamples: 12, MinMembers: 3, BaselineAge: 5,
-		ErrorFloor: 0.002, ErrorMargin: 1.5, ErrorRatio: 8, ErrorThreshold: 10, InvalidWeight: 2,
+		ErrorFloor: 0.002, ErrorMargin: 1.5, ErrorRatio: 8, ErrorThreshold: 10, ErrorSettle: 0.9, InvalidWeight: 2,
 		ColdStart: 20, SuspectShare: 0.5, ClearShare: 0.4,
 		HoldOff: 5, HoldOffMax: 120, HoldOffDecay: 60, Probes: 3, ProbeInterval: 0.2,
 		RampSteps: 4, RampStep: 1, TickGap: 1,
@@ -112,7 +114,7 @@
 		Window: 0.25, Settle: 2,
 		SlowRatio: 1.6, Drift: 0.5, Clip: 2, EvidenceCap: 2, RecoveryCap: 1, LatencyThreshold: 30,
 		MinSpread: 0.5, MaxSpread: 1.5, MinSamples: 20, MinMembers: 3, BaselineAge: 6,
-		ErrorFloor: 0.003, ErrorMargin: 2, ErrorRatio: 8, ErrorThreshold: 18, InvalidWeight: 2,
+		ErrorFloor: 0.003, ErrorMargin: 2, ErrorRatio: 8, ErrorThreshold: 18, ErrorSettle: 2, InvalidWeight: 2,
 		ColdStart: 30, SuspectShare: 0.67, ClearShare: 0.4,
 		HoldOff: 10, HoldOffMax: 300, HoldOffDecay: 120, Probes: 3, ProbeInterval: 0.5,
 		RampSteps: 3, RampStep: 2, TickGap: 1,
@@ -169,8 +171,10 @@
 		return fmt.Errorf("detector number \"clip\" (%v) must be above \"drift\" (%v), or slowness is never evidence", c.Clip, c.Drift)
 	case c.Settle/c.Window > maxWindowsInSettle-2:
 		return fmt.Errorf("detector number \"settle\" (%v s) spans more than %d windows of %v s", c.Settle, maxWindowsInSettle-2, c.Window)
+	case c.ErrorSettle/c.Window > maxWindowsInSettle-2:
+		return fmt.Errorf("detector number \"errorSettle\" (%v s) spans more than %d windows of %v s", c.ErrorSettle, maxWindowsInSettle-2, c.Window)
 	case 2*c.EvidenceCap > c.LatencyThreshold || 2*c.EvidenceCap > c.ErrorThreshold:
-		return fmt.Errorf("detector number \"evidence-cap\" (%v) must be at most half of each threshold, or one window could eject", c.EvidenceCap)
+		return fmt.Errorf("detector number \"evidenceCap\" (%v) must be at most half of each threshold, or one window could eject", c.EvidenceCap)
 	}
 	return nil
 }
--- a/internal/ejection/detector.go
+++ b/internal/ejection/detector.go
@@ -70,13 +70,17 @@
 }
 
 type detector struct {
-	cfg      Config
-	window   time.Duration
-	settle   time.Duration
-	refs     baselines
-	pending  [maxWindowsInSettle]window
-	head     int
-	size     int
+	cfg    Config
+	window time.Duration
+	refs   baselines
+	// pending is a ring of size windows from head on, the oldest first.
+	pending [maxWindowsInSettle]window
+	head    int
+	size    int
+	// latencyJudged and errorsJudged count the oldest windows of which the service times or the errors were judged. A window
+	// is dropped when both were.
+	latencyJudged, errorsJudged int
+
 	latency  sum
 	errors   sum
 	centre   float64 // learned mean of the log ratio
@@ -88,7 +92,7 @@
 
 func newDetector(cfg Config) *detector {
 	return &detector{
-		cfg: cfg, window: seconds(cfg.Window), settle: seconds(cfg.Settle),
+		cfg: cfg, window: seconds(cfg.Window),
 		refs:   baselines{maxAge: seconds(cfg.BaselineAge), minMembers: int(cfg.MinMembers)},
 		spread: (cfg.MinSpread + cfg.MaxSpread) / 2 / deviationToSpread,
 	}
@@ -101,7 +105,7 @@
 	d.ratio, d.errShare = 0, 0
 }
 
-func (d *detector) discard() { d.head, d.size = 0, 0 }
+func (d *detector) discard() { d.head, d.size, d.latencyJudged, d.errorsJudged = 0, 0, 0, 0 }
 
 func (d *detector) observe(now time.Time, s Sample) {
 	if s.Result == Shed || s.ServiceTime < 0 {
@@ -130,7 +134,7 @@
 func (d *detector) open(now time.Time) *window {
 	start := now.Truncate(d.window)
 	if d.size > 0 {
-		w := &d.pending[(d.head+d.size-1)%len(d.pending)]
+		w := d.at(d.size - 1)
 		if !w.start.Before(start) {
 			return w
 		}
@@ -138,34 +142,47 @@
 	if d.size == len(d.pending) {
 		d.drop()
 	}
-	w := &d.pending[(d.head+d.size)%len(d.pending)]
+	w := d.at(d.size)
 	d.size++
 	w.start, w.ref = start, d.refs.at(now)
 	w.lowerOnly, w.timed, w.answers, w.errors = 0, 0, 0, 0
 	return w
 }
 
-func (d *detector) drop() { d.head, d.size = (d.head+1)%len(d.pending), d.size-1 }
+func (d *detector) at(i int) *window { return &d.pending[(d.head+i)%len(d.pending)] }
+
+func (d *detector) drop() {
+	d.head, d.size = (d.head+1)%len(d.pending), d.size-1
+	d.latencyJudged, d.errorsJudged = max(d.latencyJudged-1, 0), max(d.errorsJudged-1, 0)
+}
 
-// advance judges the windows that ended at least the settle time ago.
+// advance judges the windows that ended at least the settle time ago. Errors have their own settle time, because error
+// shares follow a change of the whole service more slowly than medians do.
 func (d *detector) advance(now time.Time) {
-	for d.size > 0 {
-		w := &d.pending[d.head]
-		if now.Sub(w.start) < d.window+d.settle {
-			return
+	for d.due(now, d.latencyJudged, d.cfg.Settle) {
+		w := d.at(d.latencyJudged)
+		if ref := w.ref.merge(d.refs.at(now)); ref.entries > 0 {
+			d.ref = ref
+			d.judgeLatency(w, ref)
+		}
+		d.latencyJudged++
+	}
+	for d.due(now, d.errorsJudged, d.cfg.ErrorSettle) {
+		w := d.at(d.errorsJudged)
+		if ref := w.ref.merge(d.refs.at(now)); ref.entries > 0 {
+			d.ref = ref
+			d.judgeErrors(w, ref)
 		}
-		d.judge(w, w.ref.merge(d.refs.at(now)))
+		d.errorsJudged++
+	}
+	for d.latencyJudged > 0 && d.errorsJudged > 0 {
 		d.drop()
 	}
 }
 
-func (d *detector) judge(w *window, ref reference) {
-	if ref.entries == 0 {
-		return
-	}
-	d.ref = ref
-	d.judgeLatency(w, ref)
-	d.judgeErrors(w, ref)
+// due says whether window i exists and ended at least settle seconds ago.
+func (d *detector) due(now time.Time, i int, settle float64) bool {
+	return i < d.size && now.Sub(d.at(i).start) >= d.window+seconds(settle)
 }
 
 func (d *detector) scale() float64 {
--- a/internal/ejection/detector_test.go
+++ b/internal/ejection/detector_test.go
@@ -32,6 +32,32 @@
 	}
 }
 
+// Guards against judging errors as early as service times: the baseline's error share follows 0.8 s after the burst starts.
+func TestServiceWideErrorsAreNoEvidence(t *testing.T) {
+	for settle, want := range map[float64]bool{0.1: true, 0.9: false} {
+		cfg, err := preset(t, FastDetection).Override(map[string]float64{"settle": 0.1, "errorSettle": settle})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, now := ready(t, FastDetection)
+		b.Reconfigure(now, cfg, 5)
+		suspect := false
+		for i := range 100 {
+			now = now.Add(20 * time.Millisecond)
+			v := Baseline{Median: 10 * time.Millisecond, Members: 7}
+			if i >= 40 {
+				v.ErrorShare = 0.5
+			}
+			b.Baseline(now, "e", v)
+			b.Observe(now, Sample{ServiceTime: 10 * time.Millisecond, Result: Result(i % 2)})
+			suspect = suspect || b.WantsOut(now)
+		}
+		if suspect != want {
+			t.Errorf("errors judged after %v s: suspect=%v, want %v", settle, suspect, want)
+		}
+	}
+}
+
 // Guards against counting the requests that one garbage collection delays as independent samples.
 func TestOnePauseIsOneWindow(t *testing.T) {
 	for _, name := range []string{FastDetection, FewFalseEjections} {
