Raise a rising baseline further, by the new number trend

Cause: settle is 0.9 s of each detection, and is needed because the baseline lags behind a load swing of the whole service.

Change: the baseline of a window is multiplied by the rise of the median during its settle time, to the power of trend.

--- a/internal/ejection/config.go
+++ b/internal/ejection/config.go
@@ -21,6 +21,7 @@
 type Config struct {
 	Window           float64
 	Settle           float64
+	Trend            float64
 	SlowRatio        float64
 	Drift            float64
 	Clip             float64
@@ -67,6 +68,7 @@
 var numbers = []Number{
 	{"window", "s", "length of one evidence window", 0.05, 2, false, func(c *Config) *float64 { return &c.Window }},
 	{"settle", "s", "wait before the service times of a window are judged, so that baselines can follow a change of the whole service", 0, 5, false, func(c *Config) *float64 { return &c.Settle }},
+	{"trend", "exponent", "applied to the rise of the baseline median during the settle time, by which the baseline is raised further, because it lags behind a change of the whole service; 0 is none", 0, 5, false, func(c *Config) *float64 { return &c.Trend }},
 	{"slowRatio", "ratio", "service time over baseline below which a sample is never evidence of slowness", 1.1, 10, false, func(c *Config) *float64 { return &c.SlowRatio }},
 	{"drift", "spreads", "subtracted from each sample's log ratio; larger means fewer false ejections and less sensitivity", 0.1, 2, false, func(c *Config) *float64 { return &c.Drift }},
 	{"clip", "spreads", "largest log ratio that one sample contributes, either way", 1, 5, false, func(c *Config) *float64 { return &c.Clip }},
--- a/internal/ejection/detector.go
+++ b/internal/ejection/detector.go
@@ -161,9 +161,10 @@
 func (d *detector) advance(now time.Time) {
 	for d.due(now, d.latencyJudged, d.cfg.Settle) {
 		w := d.at(d.latencyJudged)
-		if ref := w.ref.merge(d.refs.at(now)); ref.entries > 0 {
+		latest := d.refs.at(now)
+		if ref := w.ref.merge(latest); ref.entries > 0 {
 			d.ref = ref
-			d.judgeLatency(w, ref)
+			d.judgeLatency(w, ref.median, rise(w.ref, latest))
 		}
 		d.latencyJudged++
 	}
@@ -189,8 +190,16 @@
 	return min(max(d.spread*deviationToSpread, d.cfg.MinSpread), d.cfg.MaxSpread)
 }
 
-func (d *detector) judgeLatency(w *window, ref reference) {
-	base, scale := math.Log(float64(ref.median)), d.scale()
+// rise returns the log ratio by which the median rose from one reference to a later one, or 0 when it fell.
+func rise(from, to reference) float64 {
+	return max(math.Log(float64(to.median)/float64(from.median)), 0)
+}
+
+// judgeLatency compares the service times of a window with the median, which rose by the log ratio rise since the window.
+// While the service times of the whole service rise, the latest median is still behind them by reports on their way, so
+// it is raised further.
+func (d *detector) judgeLatency(w *window, median time.Duration, rise float64) {
+	base, scale := math.Log(float64(median))+d.cfg.Trend*rise, d.scale()
 	clip := d.cfg.Clip * scale
 	allowance := max(d.cfg.Drift*scale, math.Log(d.cfg.SlowRatio))
 	learn := d.latency.value < learnBelow*d.cfg.LatencyThreshold
--- a/internal/ejection/detector_test.go
+++ b/internal/ejection/detector_test.go
@@ -1,6 +1,7 @@
 package ejection
 
 import (
+	"math"
 	"strings"
 	"testing"
 	"time"
@@ -32,6 +33,32 @@
 	}
 }
 
+// Guards against ejecting during a load swing of the whole service, which baselines follow 1 s late, when settle is short.
+func TestRisingBaselineIsRaisedFurther(t *testing.T) {
+	for trend, want := range map[float64]bool{0: true, 1.5: false} {
+		cfg, err := preset(t, FastDetection).Override(map[string]float64{"settle": 0.3, "trend": trend, "latencyThreshold": 12})
+		if err != nil {
+			t.Fatal(err)
+		}
+		b, now := ready(t, FastDetection)
+		b.Reconfigure(now, cfg, 5)
+		// Service times rise by a factor of 20 within 2 s.
+		level := func(i int) time.Duration {
+			return time.Duration(1e7 * math.Pow(20, float64(min(max(i-50, 0), 100))/100))
+		}
+		suspect := false
+		for i := range 250 {
+			now = now.Add(20 * time.Millisecond)
+			b.Baseline(now, "e", Baseline{Median: level(i - 50), Members: 7})
+			b.Observe(now, Sample{ServiceTime: level(i)})
+			suspect = suspect || b.WantsOut(now)
+		}
+		if suspect != want {
+			t.Errorf("trend %v: suspect=%v, want %v", trend, suspect, want)
+		}
+	}
+}
+
 // Guards against judging errors as early as service times: the baseline's error share follows 0.8 s after the burst starts.
 func TestServiceWideErrorsAreNoEvidence(t *testing.T) {
 	for settle, want := range map[float64]bool{0.1: true, 0.9: false} {
