Judge service times after 0.6 s with trend 1 in fast-detection

Window and settle took 1.0 s of each detection; the rest, 1 to 2 s, was the time until few samples reached the threshold.

--- a/internal/ejection/config.go
+++ b/internal/ejection/config.go
@@ -104,7 +104,7 @@
 
 var presets = map[string]Config{
 	FastDetection: {
-		Window: 0.1, Settle: 0.9,
+		Window: 0.1, Settle: 0.6, Trend: 1,
 		SlowRatio: 1.5, Drift: 0.5, Clip: 2, EvidenceCap: 3, RecoveryCap: 2, LatencyThreshold: 16,
 		MinSpread: 0.5, MaxSpread: 1.5, MinSamples: 12, MinMembers: 3, BaselineAge: 5,
 		ErrorFloor: 0.002, ErrorMargin: 1.5, ErrorRatio: 8, ErrorThreshold: 10, ErrorSettle: 0.9, InvalidWeight: 2,
