--- a/internal/home/faults_test.go
+++ b/internal/home/faults_test.go
@@ -27,7 +27,6 @@
 	t        *testing.T
 	random   *rand.Rand
 	snapshot *catalog.Snapshot
-	floor    int
 	homes    []*Home // nil for a killed one
 	sick     []bool
 	outs     int
