Mend comments and a name in internal/ejection

The bound on waiting windows stood among the names of the presets without a reason and is now maxPendingWindows. Comments named a number in another spelling and counted the uses of the baseline median wrongly. window has a doc comment. No decision changes.

--- a/internal/ejection/backend.go
+++ b/internal/ejection/backend.go
@@ -131,7 +131,7 @@
 func (b *Backend) Tick(now time.Time) { b.advance(now) }
 
 // Restarted begins a cold start for a backend server that was restarted while its home went on. It is ignored while the
-// backend server is suspect or out of service, and for hold-off-decay after the previous cold start, so that one that
+// backend server is suspect or out of service, and for Config.HoldOffDecay after the previous cold start, so that one that
 // restarts again and again is still judged.
 func (b *Backend) Restarted(now time.Time) {
 	now = b.advance(now)
--- a/internal/ejection/baseline.go
+++ b/internal/ejection/baseline.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// maxEntries bounds the baselines that are kept, since the median over them is computed twice per window. With more entries
-// the latest ones count.
+// maxEntries bounds the baselines that are kept, since the median over them is computed when a window opens and when its
+// service times and its errors are judged. With more entries the latest ones count.
 const maxEntries = 32
 
 // Baseline is what one entry reports about the other backend servers of the service.
--- a/internal/ejection/config.go
+++ b/internal/ejection/config.go
@@ -11,11 +11,14 @@
 
 // Names of the presets.
 const (
-	FastDetection      = "fast-detection"
-	FewFalseEjections  = "few-false-ejections"
-	maxWindowsInSettle = 128
+	FastDetection     = "fast-detection"
+	FewFalseEjections = "few-false-ejections"
 )
 
+// maxPendingWindows bounds the windows that wait to be judged. A settle time may span two fewer, for the window that is open
+// and the one that has just become due.
+const maxPendingWindows = 128
+
 // Config holds the numbers of the detector and of the state machine. Numbers lists names, units, ranges and meanings.
 // Durations are in seconds, as in the service document.
 type Config struct {
@@ -171,10 +174,10 @@
 		return fmt.Errorf("detector number \"maxSpread\" (%v) is below \"minSpread\" (%v)", c.MaxSpread, c.MinSpread)
 	case c.Clip <= c.Drift:
 		return fmt.Errorf("detector number \"clip\" (%v) must be above \"drift\" (%v), or slowness is never evidence", c.Clip, c.Drift)
-	case c.Settle/c.Window > maxWindowsInSettle-2:
-		return fmt.Errorf("detector number \"settle\" (%v s) spans more than %d windows of %v s", c.Settle, maxWindowsInSettle-2, c.Window)
-	case c.ErrorSettle/c.Window > maxWindowsInSettle-2:
-		return fmt.Errorf("detector number \"errorSettle\" (%v s) spans more than %d windows of %v s", c.ErrorSettle, maxWindowsInSettle-2, c.Window)
+	case c.Settle/c.Window > maxPendingWindows-2:
+		return fmt.Errorf("detector number \"settle\" (%v s) spans more than %d windows of %v s", c.Settle, maxPendingWindows-2, c.Window)
+	case c.ErrorSettle/c.Window > maxPendingWindows-2:
+		return fmt.Errorf("detector number \"errorSettle\" (%v s) spans more than %d windows of %v s", c.ErrorSettle, maxPendingWindows-2, c.Window)
 	case 2*c.EvidenceCap > c.LatencyThreshold || 2*c.EvidenceCap > c.ErrorThreshold:
 		return fmt.Errorf("detector number \"evidenceCap\" (%v) must be at most half of each threshold, or one window could eject", c.EvidenceCap)
 	}
--- a/internal/ejection/detector.go
+++ b/internal/ejection/detector.go
@@ -44,9 +44,10 @@
 	maxTestedShare = 0.9
 )
 
+// window holds the evidence of one span of Config.Window until it is judged.
 type window struct {
 	start     time.Time
-	ref       reference
+	ref       reference // baseline when the window opened
 	times     [windowSamples]float64
 	lowerOnly uint64 // bit i is set when times[i] is a lower bound
 	timed     int
@@ -74,7 +75,7 @@
 	window time.Duration
 	refs   baselines
 	// pending is a ring of size windows from head on, the oldest first.
-	pending [maxWindowsInSettle]window
+	pending [maxPendingWindows]window
 	head    int
 	size    int
 	// latencyJudged and errorsJudged count the oldest windows of which the service times or the errors were judged. A window
