Measure added latency without the backend server's own time

Cause: cmd/measure-detection compared the p99 of lookups through the fleet with the p99 of direct calls, times of the backend server included, a tenth as many direct calls, 15 s after the start. The difference of the two came out between -10.9 and 9 ms on a busy machine, so it showed neither that 3.7 ms were kept nor that they were not.

Change: the stand-in states its own time in a response header, and cmd/measure-latency subtracts it from each lookup, through the fleet and direct, as many of both, at the 69 requests a second of one daemon at the design size. The two programs share the fleet that they start.

Ruled out as causes of the earlier figures: waits for slots (under 40 µs in each slow lookup looked at) and, but for 1 in 24 slow lookups, waits for shares of limits (trials with times in response headers). The slow lookups waited for a processor.

--- a/cmd/measure-detection/main.go
+++ b/cmd/measure-detection/main.go
@@ -23,11 +23,10 @@
 	vms, backends, slots, rate, trials int
 	preset                             string
 	latencyMs                          float64
-	calm                               time.Duration
 }
 
 func main() {
-	o := options{vms: 4, backends: 8, slots: 5, rate: 50, trials: 20, preset: "fast-detection", latencyMs: 40, calm: 30 * time.Second}
+	o := options{vms: 4, backends: 8, slots: 5, rate: 50, trials: 20, preset: "fast-detection", latencyMs: 40}
 	flaggy.SetDescription("Measures the time until a slow backend server is ejected, on a fleet of separate processes.")
 	flaggy.Int(&o.vms, "", "vms", "Number of VMs.")
 	flaggy.Int(&o.backends, "", "backends", "Number of backend servers of the service.")
@@ -36,7 +35,6 @@
 	flaggy.Int(&o.trials, "", "trials", "Number of faults, one after the other.")
 	flaggy.String(&o.preset, "", "preset", "Preset of the detector.")
 	flaggy.Float64(&o.latencyMs, "", "latency", "Milliseconds that the fault adds; a healthy backend server takes 10.")
-	flaggy.Duration(&o.calm, "", "calm", "Time before the first fault in which the added latency is measured.")
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
@@ -47,35 +45,19 @@
 }
 
 func run(ctx context.Context, o options) error {
-	dir, err := os.MkdirTemp("", "cowsliprun-detection-")
+	f, end, err := fleet.Measured{VMs: o.vms, Backends: o.backends, Slots: o.slots, Preset: o.preset}.Start(ctx)
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(dir)
-	if err := fleet.Build(ctx, dir); err != nil {
-		return err
-	}
-	f := fleet.New(fleet.Options{Bin: dir, Dir: dir, Platform: fleet.FreeAddress(), Documents: layout(o).Documents(fleet.FreeAddress)})
-	defer f.Kill()
-	if err := f.Start(ctx); err != nil {
-		return err
-	}
+	defer end()
 	for _, b := range backendsOf(f) {
 		if err := f.SetFaults(ctx, b, healthy()); err != nil {
 			return err
 		}
 	}
 	l := newLoad(f, o)
-	go l.run(ctx)
+	go l.Run(ctx)
 	t := &trials{fleet: f, load: l, options: o}
-	if err := t.allActive(ctx, backendsOf(f)); err != nil {
-		return err
-	}
-	p50, p99, err := l.calm(ctx, o.calm)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("added to a lookup without a fault: p50 %v, p99 %v at %d requests/s\n\n", p50.Round(10*time.Microsecond), p99.Round(10*time.Microsecond), o.rate*o.backends)
 	if err := t.run(ctx); err != nil {
 		return err
 	}
@@ -110,7 +92,7 @@
 // trials runs one fault after the other.
 type trials struct {
 	fleet    *fleet.Fleet
-	load     *load
+	load     *fleet.Load
 	options  options
 	detected []time.Duration
 	missed   int
--- /dev/null
+++ b/cmd/measure-latency/main.go
@@ -0,0 +1,77 @@
+// Command measure-latency measures on a fleet of separate processes what the daemons add to a lookup, at the rate that the size
+// to design for gives one daemon.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/cowsliprun/cowsliprun/internal/standin/fleet"
+)
+
+// options are the flags.
+type options struct {
+	vms, backends, slots, rate, runs int
+	settle, length                   time.Duration
+}
+
+func main() {
+	o := options{vms: 4, backends: 8, slots: 5, rate: 69, runs: 3, settle: 15 * time.Second, length: 20 * time.Second}
+	flaggy.SetDescription("Measures what the daemons add to a lookup, on a fleet of separate processes.")
+	flaggy.Int(&o.vms, "", "vms", "Number of VMs.")
+	flaggy.Int(&o.backends, "", "backends", "Number of backend servers of the service.")
+	flaggy.Int(&o.slots, "", "slots", "Slots of each backend server.")
+	flaggy.Int(&o.rate, "", "rate", "Callers' requests a second at each daemon.")
+	flaggy.Int(&o.runs, "", "runs", "Number of measurements, one after the other.")
+	flaggy.Duration(&o.settle, "", "settle", "Time under load before the first measurement.")
+	flaggy.Duration(&o.length, "", "length", "Time of each measurement.")
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	if err := run(ctx, o); err != nil {
+		fmt.Fprintln(os.Stderr, "measure-latency:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, o options) error {
+	f, end, err := fleet.Measured{VMs: o.vms, Backends: o.backends, Slots: o.slots}.Start(ctx)
+	if err != nil {
+		return err
+	}
+	defer end()
+	l := newLoad(f, o.rate)
+	loadCtx, endLoad := context.WithCancel(ctx)
+	defer endLoad()
+	go l.run(loadCtx)
+	if !pause(ctx, o.settle) {
+		return ctx.Err()
+	}
+	fmt.Println("Times of lookups without the backend server's own time: through the fleet, and of direct calls to a backend server.")
+	fmt.Println()
+	fmt.Println("| run | lookups | failed | fleet p50 | p90 | p99 | p99.9 | direct p50 | p90 | p99 | added p50 | p99 |")
+	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for i := range o.runs {
+		l.reset()
+		if !pause(ctx, o.length) {
+			return ctx.Err()
+		}
+		l.print(i + 1)
+	}
+	endLoad()
+	return f.Stop()
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -23,6 +23,9 @@
 	maxFaultBytes = 4 << 10
 )
 
+// HeaderServiceTime states in a response how long the server took for it, in microseconds.
+const HeaderServiceTime = "X-Service-Time-Us"
+
 // Server is the stand-in. Create it with New.
 type Server struct {
 	id string
@@ -154,6 +157,7 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	start := time.Now()
 	p := s.plan()
 	digest := sha256.New()
 	length, err := io.Copy(digest, r.Body)
@@ -184,6 +188,7 @@
 		"received": length, "sha256": hex.EncodeToString(digest.Sum(nil)),
 	})
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(HeaderServiceTime, strconv.FormatInt(time.Since(start).Microseconds(), 10))
 	s.answer(w, append(body, '\n'), p)
 }
 
--- a/internal/standin/fleet/load.go
+++ b/internal/standin/fleet/load.go
@@ -22,8 +22,6 @@
 	Interval time.Duration
 	// LateAfter is the time after which an answer counts as late, Timeout the one after which a lookup has failed.
 	LateAfter, Timeout time.Duration
-	// InTime is told the time of each answer that is not late. It may be nil.
-	InTime func(took time.Duration)
 }
 
 // Load sends lookups at a constant rate through all daemons and counts how they end.
@@ -42,9 +40,6 @@
 
 // NewLoad returns a load that Run starts.
 func (f *Fleet) NewLoad(o LoadOptions) *Load {
-	if o.InTime == nil {
-		o.InTime = func(time.Duration) {}
-	}
 	transport := &http.Transport{MaxIdleConnsPerHost: loadConnections}
 	return &Load{options: o, fleet: f, client: &http.Client{Timeout: o.Timeout, Transport: transport}}
 }
@@ -92,7 +87,6 @@
 		l.Late.Add(1)
 	default:
 		l.Answered.Add(1)
-		l.options.InTime(took)
 	}
 }
 
