--- a/cmd/measure-capacity/main.go
+++ b/cmd/measure-capacity/main.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -21,7 +22,8 @@
 	flaggy.Duration(&settle, "", "settle", "Time between the start and the measurement.")
 	flaggy.Duration(&window, "", "window", "Length of the measurement.")
 	flaggy.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	// A closed pipe counts too: without it the fleet outlives a measurement whose output goes to head.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGPIPE)
 	defer stop()
 	if err := run(ctx, daemons, settle, window); err != nil {
 		fmt.Fprintln(os.Stderr, "measure-capacity:", err)
--- a/cmd/measure-detection/main.go
+++ b/cmd/measure-detection/main.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -36,7 +37,8 @@
 	flaggy.String(&o.preset, "", "preset", "Preset of the detector.")
 	flaggy.Float64(&o.latencyMs, "", "latency", "Milliseconds that the fault adds; a healthy backend server takes 10.")
 	flaggy.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	// A closed pipe counts too: without it the fleet outlives a measurement whose output goes to head.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGPIPE)
 	defer stop()
 	if err := run(ctx, o); err != nil {
 		fmt.Fprintln(os.Stderr, "measure-detection:", err)
--- a/cmd/measure-latency/main.go
+++ b/cmd/measure-latency/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -31,7 +32,8 @@
 	flaggy.Duration(&o.settle, "", "settle", "Time under load before the first measurement.")
 	flaggy.Duration(&o.length, "", "length", "Time of each measurement.")
 	flaggy.Parse()
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	// A closed pipe counts too: without it the fleet outlives a measurement whose output goes to head.
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGPIPE)
 	defer stop()
 	if err := run(ctx, o); err != nil {
 		fmt.Fprintln(os.Stderr, "measure-latency:", err)
