Wait for a time or a context in one place

ctl, daemon, configsync, capacity and the scenarios each had a function that waits for a time unless a context ends, some with and some without a result. They call pause.For now. No behaviour changes.

--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/standin/fleet"
 )
 
@@ -60,14 +61,14 @@
 		return Result{}, err
 	}
 	result := Result{Size: size, Ready: time.Since(began)}
-	if !pause(ctx, o.Settle) {
+	if !pause.For(ctx, o.Settle) {
 		return result, ctx.Err()
 	}
 	before, err := sampleAll(ctx, f, o.Daemons)
 	if err != nil {
 		return result, err
 	}
-	if !pause(ctx, o.Window) {
+	if !pause.For(ctx, o.Window) {
 		return result, ctx.Err()
 	}
 	after, err := sampleAll(ctx, f, o.Daemons)
@@ -113,15 +114,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // sample holds the metrics of one daemon by name.
 type sample = map[string]float64
 
--- a/internal/configsync/duties.go
+++ b/internal/configsync/duties.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/membership"
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/peerapi"
 	"github.com/cowsliprun/cowsliprun/internal/platform"
 )
@@ -73,7 +74,7 @@
 		peer, due, wait := next(now)
 		r.mu.Unlock()
 		if !due {
-			sleep(ctx, wait)
+			pause.For(ctx, wait)
 			continue
 		}
 		sender, err := r.exchange(ctx, peer)
@@ -184,7 +185,7 @@
 		step := r.syncer.NextRead(asked)
 		r.mu.Unlock()
 		if step.Kind == StepWait {
-			sleep(ctx, step.Wait)
+			pause.For(ctx, step.Wait)
 			continue
 		}
 		r.wake(r.readStep(ctx, step, asked))
@@ -240,12 +241,3 @@
 	}
 	return err
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/ctl/audit.go
+++ b/internal/ctl/audit.go
@@ -13,6 +13,7 @@
 
 	"github.com/cowsliprun/cowsliprun/internal/admin"
 	"github.com/cowsliprun/cowsliprun/internal/audit"
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 )
 
 // followWait is how long a daemon holds a question for new entries.
@@ -159,7 +160,7 @@
 func (r *trailReader) next(ctx context.Context) (entries []audit.Entry, line string) {
 	page, err := auditPage(ctx, r.client, r.from, followWait)
 	if err != nil {
-		pause(ctx, time.Second)
+		pause.For(ctx, time.Second)
 		if r.down {
 			return nil, ""
 		}
--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -13,6 +13,7 @@
 	"github.com/integrii/flaggy"
 
 	"github.com/cowsliprun/cowsliprun/internal/admin"
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 )
 
 // defaultDrainLimit is above the default of limits.drainStopLimit, 60 s, with the end of reservations before it.
@@ -131,7 +132,7 @@
 func waitStopped(ctx context.Context, c *client, limit time.Duration, incarnation uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	for pause(ctx, pollInterval) {
+	for pause.For(ctx, pollInterval) {
 		st, err := getStatus(ctx, c)
 		var unreachable *unreachableError
 		if errors.As(err, &unreachable) && ctx.Err() == nil && !unreachable.timeout || err == nil && st.Incarnation != incarnation {
--- a/internal/ctl/wait.go
+++ b/internal/ctl/wait.go
@@ -14,6 +14,7 @@
 
 	"github.com/cowsliprun/cowsliprun/internal/admin"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 )
 
 // defaultWait is the default time limit of a wait. A change is in force everywhere within 16 s by design.
@@ -108,7 +109,7 @@
 	for {
 		result.Daemons = q.judge(ask(ctx, c.targets, t.timeout, getHeld))
 		result.InForce = !slices.ContainsFunc(result.Daemons, func(s waitState) bool { return s.Lacks != "" })
-		if result.InForce || !pause(limit, pollInterval) {
+		if result.InForce || !pause.For(limit, pollInterval) {
 			break
 		}
 	}
@@ -121,18 +122,6 @@
 	return name == contract.ValueIndex || slices.Contains(contract.ValueNames(), name)
 }
 
-// pause waits for d and reports false when ctx ends before.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func (r waitResult) status(out *output, limit time.Duration) int {
 	switch {
 	case !r.InForce:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/limits"
 	"github.com/cowsliprun/cowsliprun/internal/membership"
 	"github.com/cowsliprun/cowsliprun/internal/operation"
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/settings"
 	"github.com/cowsliprun/cowsliprun/internal/telemetry"
 )
@@ -196,9 +197,9 @@
 	if err := d.home.Drain(ctx); err != nil {
 		d.log.Part("daemon").Warn("The stop limit cuts requests to backend servers.", "limit", d.settings.Limits.DrainStopLimit)
 	}
-	sleep(ctx, callersGrace)
+	pause.For(ctx, callersGrace)
 	d.listeners.callersOn.Close()
-	sleep(ctx, acceptedGrace)
+	pause.For(ctx, acceptedGrace)
 	if err := d.listeners.callers.Shutdown(ctx); err != nil {
 		d.log.Part("daemon").Warn("The stop limit cuts requests of callers.", "limit", d.settings.Limits.DrainStopLimit)
 	}
--- a/internal/daemon/limiter.go
+++ b/internal/daemon/limiter.go
@@ -8,6 +8,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/limits"
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 )
 
 const (
@@ -56,24 +57,12 @@
 		case l.ask <- struct{}{}:
 		default:
 		}
-		if !sleep(ctx, min(d.Wait, left, shareWait)) {
+		if !pause.For(ctx, min(d.Wait, left, shareWait)) {
 			return errkind.New(errkind.DeadlineBeforeRun, "the deadline passed while the request waited for a share of its limits")
 		}
 	}
 	return nil
 }
 
-// sleep returns false when ctx ended before d was over.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Release ends a request that was admitted.
 func (l *limiter) Release(customer string) { l.user.Release(customer) }
--- a/test/scenario/load_test.go
+++ b/test/scenario/load_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 )
 
 const (
@@ -142,7 +144,7 @@
 				if ctx.Err() == nil || !r.isWaiting() {
 					l.finish(r)
 				}
-				sleep(ctx, l.pause)
+				pause.For(ctx, l.pause)
 			}
 		})
 	}
@@ -158,13 +160,6 @@
 	l.client.CloseIdleConnections()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (l *load) newRecord() (*record, int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -222,7 +217,7 @@
 		switch {
 		case a.isUnready() && i+1 < len(l.vms):
 		case a.isLimited() && ctx.Err() == nil:
-			sleep(ctx, repeatPause)
+			pause.For(ctx, repeatPause)
 		default:
 			return a
 		}
@@ -263,7 +258,7 @@
 		if ctx.Err() != nil && i > 0 {
 			return
 		}
-		sleep(ctx, repeatPause)
+		pause.For(ctx, repeatPause)
 	}
 	if !r.answered || n%replayEvery != 0 {
 		return
--- a/test/scenario/transfer_test.go
+++ b/test/scenario/transfer_test.go
@@ -13,6 +13,8 @@
 	"sync/atomic"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 )
 
 // transfer is a large upload or download that stops half-way until the scenario lets it go on.
@@ -59,7 +61,7 @@
 		err := run("http://"+w.callers[args[2]], size)
 		// An entry that waits for its share of a limit refuses a second request in flight; callers send again, as the loads do.
 		for errors.Is(err, errLimited) {
-			sleep(t.ctx, repeatPause)
+			pause.For(t.ctx, repeatPause)
 			t.parked.Store(false)
 			err = run("http://"+w.callers[args[2]], size)
 		}
