Let the measuring programs share signals, options and lookups

The signals on which a program must end its fleet stood in three programs, with the same comment, and the local example lacked one of them: a closed pipe left its fleet running too. fleet.SignalContext is called by all four. measure-latency and measure-detection embed fleet.Measured in place of a copy of its fields, and both send lookups by fleet.Lookup.

Checked: measure-latency with its output piped to head leaves no process.

--- a/cmd/measure-capacity/main.go
+++ b/cmd/measure-capacity/main.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -22,8 +20,7 @@
 	flaggy.Duration(&settle, "", "settle", "Time between the start and the measurement.")
 	flaggy.Duration(&window, "", "window", "Length of the measurement.")
 	flaggy.Parse()
-	// A closed pipe counts too: without it the fleet outlives a measurement whose output goes to head.
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGPIPE)
+	ctx, stop := fleet.SignalContext()
 	defer stop()
 	if err := run(ctx, daemons, settle, window); err != nil {
 		fmt.Fprintln(os.Stderr, "measure-capacity:", err)
--- a/cmd/measure-detection/load.go
+++ b/cmd/measure-detection/load.go
@@ -12,7 +12,7 @@
 // newLoad returns the load of the options. An answer is late after half of what a slow backend server takes in addition.
 func newLoad(f *fleet.Fleet, o options) *fleet.Load {
 	return f.NewLoad(fleet.LoadOptions{
-		Path: "/item", Key: fleet.Key(fleet.MeasuredCustomer), Interval: time.Second / time.Duration(o.rate*o.backends), Timeout: lookupTimeout,
+		Path: "/item", Key: fleet.Key(fleet.MeasuredCustomer), Interval: time.Second / time.Duration(o.rate*o.Backends), Timeout: lookupTimeout,
 		LateAfter: time.Duration((10 + o.latencyMs/2) * float64(time.Millisecond)),
 	})
 }
--- a/cmd/measure-detection/main.go
+++ b/cmd/measure-detection/main.go
@@ -6,39 +6,37 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"slices"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
 
 	"github.com/cowsliprun/cowsliprun/internal/capacity"
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/standin/backend"
 	"github.com/cowsliprun/cowsliprun/internal/standin/fleet"
 )
 
 // options are the flags.
 type options struct {
-	vms, backends, slots, rate, trials int
-	preset                             string
-	latencyMs                          float64
+	fleet.Measured
+	rate, trials int
+	latencyMs    float64
 }
 
 func main() {
-	o := options{vms: 4, backends: 8, slots: 5, rate: 50, trials: 20, preset: "fast-detection", latencyMs: 40}
+	o := options{Measured: fleet.Measured{VMs: 4, Backends: 8, Slots: 5, Preset: "fast-detection"}, rate: 50, trials: 20, latencyMs: 40}
 	flaggy.SetDescription("Measures the time until a slow backend server is ejected, on a fleet of separate processes.")
-	flaggy.Int(&o.vms, "", "vms", "Number of VMs.")
-	flaggy.Int(&o.backends, "", "backends", "Number of backend servers of the service.")
-	flaggy.Int(&o.slots, "", "slots", "Slots of each backend server.")
+	flaggy.Int(&o.VMs, "", "vms", "Number of VMs.")
+	flaggy.Int(&o.Backends, "", "backends", "Number of backend servers of the service.")
+	flaggy.Int(&o.Slots, "", "slots", "Slots of each backend server.")
 	flaggy.Int(&o.rate, "", "rate", "Requests a second for each backend server on average.")
 	flaggy.Int(&o.trials, "", "trials", "Number of faults, one after the other.")
-	flaggy.String(&o.preset, "", "preset", "Preset of the detector.")
+	flaggy.String(&o.Preset, "", "preset", "Preset of the detector.")
 	flaggy.Float64(&o.latencyMs, "", "latency", "Milliseconds that the fault adds; a healthy backend server takes 10.")
 	flaggy.Parse()
-	// A closed pipe counts too: without it the fleet outlives a measurement whose output goes to head.
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGPIPE)
+	ctx, stop := fleet.SignalContext()
 	defer stop()
 	if err := run(ctx, o); err != nil {
 		fmt.Fprintln(os.Stderr, "measure-detection:", err)
@@ -47,7 +45,7 @@
 }
 
 func run(ctx context.Context, o options) error {
-	f, end, err := fleet.Measured{VMs: o.vms, Backends: o.backends, Slots: o.slots, Preset: o.preset}.Start(ctx)
+	f, end, err := o.Start(ctx)
 	if err != nil {
 		return err
 	}
@@ -145,7 +143,7 @@
 			t.missed++
 			return nil
 		}
-		if !pause(ctx, 20*time.Millisecond) {
+		if !pause.For(ctx, 20*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
@@ -158,21 +156,12 @@
 		if !slices.ContainsFunc(names, func(name string) bool { return seen[name] != "active" }) {
 			return nil
 		}
-		if !pause(ctx, 200*time.Millisecond) {
+		if !pause.For(ctx, 200*time.Millisecond) {
 			return ctx.Err()
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 func (t *trials) print() {
 	slices.Sort(t.detected)
 	quantile := func(q int) time.Duration {
@@ -183,7 +172,7 @@
 	}
 	fmt.Println("| preset | backend servers | requests/s each | added ms | trials | p50 | p90 | max | missed | others out | lookups | late | failed |")
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|---|")
-	fmt.Printf("| `%s` | %d | %d | %.0f | %d | %v | %v | %v | %d | %d | %d | %d | %d |\n", t.options.preset, t.options.backends, t.options.rate,
+	fmt.Printf("| `%s` | %d | %d | %.0f | %d | %v | %v | %v | %d | %d | %d | %d | %d |\n", t.options.Preset, t.options.Backends, t.options.rate,
 		t.options.latencyMs, t.options.trials, quantile(50), quantile(90), quantile(100), t.missed, t.wrong,
 		t.load.Answered.Load()+t.load.Late.Load()+t.load.Failed.Load(), t.load.Late.Load(), t.load.Failed.Load())
 }
--- a/cmd/measure-latency/load.go
+++ b/cmd/measure-latency/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -63,29 +62,16 @@
 
 // lookup sends one request and notes its time without the backend server's own.
 func (l *load) lookup(ctx context.Context, path int, url string) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url+"/item", nil)
-	if err != nil {
-		return
-	}
-	req.Header.Set("Authorization", "Bearer "+fleet.Key(fleet.MeasuredCustomer))
 	start := time.Now()
-	resp, err := l.client.Do(req)
-	if err == nil {
-		_, err = io.Copy(io.Discard, resp.Body)
-		resp.Body.Close()
-	}
+	got := fleet.Lookup(ctx, l.client, url+"/item", fleet.Key(fleet.MeasuredCustomer))
 	took := time.Since(start)
 	if ctx.Err() != nil {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if err != nil || resp.StatusCode != http.StatusOK {
-		l.failed++
-		return
-	}
-	us, err := strconv.ParseInt(resp.Header.Get(backend.HeaderServiceTime), 10, 64)
-	if err != nil {
+	us, err := strconv.ParseInt(got.Header.Get(backend.HeaderServiceTime), 10, 64)
+	if got.Err != nil || got.Status != http.StatusOK || err != nil {
 		l.failed++
 		return
 	}
--- a/cmd/measure-latency/main.go
+++ b/cmd/measure-latency/main.go
@@ -6,34 +6,33 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/integrii/flaggy"
 
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/standin/fleet"
 )
 
 // options are the flags.
 type options struct {
-	vms, backends, slots, rate, runs int
-	settle, length                   time.Duration
+	fleet.Measured
+	rate, runs     int
+	settle, length time.Duration
 }
 
 func main() {
-	o := options{vms: 4, backends: 8, slots: 5, rate: 69, runs: 3, settle: 15 * time.Second, length: 20 * time.Second}
+	o := options{Measured: fleet.Measured{VMs: 4, Backends: 8, Slots: 5}, rate: 69, runs: 3, settle: 15 * time.Second, length: 20 * time.Second}
 	flaggy.SetDescription("Measures what the daemons add to a lookup, on a fleet of separate processes.")
-	flaggy.Int(&o.vms, "", "vms", "Number of VMs.")
-	flaggy.Int(&o.backends, "", "backends", "Number of backend servers of the service.")
-	flaggy.Int(&o.slots, "", "slots", "Slots of each backend server.")
+	flaggy.Int(&o.VMs, "", "vms", "Number of VMs.")
+	flaggy.Int(&o.Backends, "", "backends", "Number of backend servers of the service.")
+	flaggy.Int(&o.Slots, "", "slots", "Slots of each backend server.")
 	flaggy.Int(&o.rate, "", "rate", "Callers' requests a second at each daemon.")
 	flaggy.Int(&o.runs, "", "runs", "Number of measurements, one after the other.")
 	flaggy.Duration(&o.settle, "", "settle", "Time under load before the first measurement.")
 	flaggy.Duration(&o.length, "", "length", "Time of each measurement.")
 	flaggy.Parse()
-	// A closed pipe counts too: without it the fleet outlives a measurement whose output goes to head.
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM, syscall.SIGPIPE)
+	ctx, stop := fleet.SignalContext()
 	defer stop()
 	if err := run(ctx, o); err != nil {
 		fmt.Fprintln(os.Stderr, "measure-latency:", err)
@@ -42,7 +41,7 @@
 }
 
 func run(ctx context.Context, o options) error {
-	f, end, err := fleet.Measured{VMs: o.vms, Backends: o.backends, Slots: o.slots}.Start(ctx)
+	f, end, err := o.Start(ctx)
 	if err != nil {
 		return err
 	}
@@ -51,7 +50,7 @@
 	loadCtx, endLoad := context.WithCancel(ctx)
 	defer endLoad()
 	go l.run(loadCtx)
-	if !pause(ctx, o.settle) {
+	if !pause.For(ctx, o.settle) {
 		return ctx.Err()
 	}
 	fmt.Println("Times of lookups without the backend server's own time: through the fleet, and of direct calls to a backend server.")
@@ -60,7 +59,7 @@
 	fmt.Println("|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for i := range o.runs {
 		l.reset()
-		if !pause(ctx, o.length) {
+		if !pause.For(ctx, o.length) {
 			return ctx.Err()
 		}
 		l.print(i + 1)
@@ -68,12 +67,3 @@
 	endLoad()
 	return f.Stop()
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
--- a/examples/local/main.go
+++ b/examples/local/main.go
@@ -8,10 +8,8 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"path/filepath"
 	"runtime"
-	"syscall"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/contract"
@@ -35,7 +33,7 @@
 var callers = map[string]string{"vm1": "127.0.0.1:18001", "vm2": "127.0.0.1:18002", "vm3": "127.0.0.1:18003"}
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := fleet.SignalContext()
 	defer stop()
 	if err := run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		fmt.Fprintln(os.Stderr, "local:", err)
--- a/internal/standin/fleet/load.go
+++ b/internal/standin/fleet/load.go
@@ -70,9 +70,9 @@
 // next one when a daemon is not there or has no configuration yet: then nothing of the request ran.
 func (l *Load) lookup(ctx context.Context, urls []string, first int) {
 	start := time.Now()
-	var got answer
+	var got Answer
 	for i := range urls {
-		got = l.send(ctx, urls[(first+i)%len(urls)])
+		got = Lookup(ctx, l.client, urls[(first+i)%len(urls)], l.options.Key)
 		if !got.isUnready() {
 			break
 		}
@@ -80,7 +80,7 @@
 	took := time.Since(start)
 	switch {
 	case ctx.Err() != nil:
-	case got.err != nil || got.status != http.StatusOK:
+	case got.Err != nil || got.Status != http.StatusOK:
 		l.Failed.Add(1)
 		l.lastFailure.Store(got.String())
 	case took > l.options.LateAfter:
@@ -96,36 +96,40 @@
 	return text
 }
 
-// answer is what a caller got from one daemon.
-type answer struct {
-	status int
-	kind   string
-	err    error
+// Answer is what a caller got for one lookup at one address.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Err is the failure to get a whole answer.
+	Err error
 }
 
-func (a answer) isUnready() bool {
+func (a Answer) kind() string { return a.Header.Get(forward.HeaderErrorKind) }
+
+func (a Answer) isUnready() bool {
 	var op *net.OpError
-	return errors.As(a.err, &op) && op.Op == "dial" || a.kind == errkind.NoConfiguration.String()
+	return errors.As(a.Err, &op) && op.Op == "dial" || a.kind() == errkind.NoConfiguration.String()
 }
 
-func (a answer) String() string {
-	if a.err != nil {
-		return a.err.Error()
+func (a Answer) String() string {
+	if a.Err != nil {
+		return a.Err.Error()
 	}
-	return fmt.Sprintf("status %d %s", a.status, a.kind)
+	return fmt.Sprintf("status %d %s", a.Status, a.kind())
 }
 
-func (l *Load) send(ctx context.Context, url string) answer {
+// Lookup sends one GET with the API key and reads the whole answer.
+func Lookup(ctx context.Context, client *http.Client, url, key string) Answer {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return answer{err: err}
+		return Answer{Err: err}
 	}
-	req.Header.Set("Authorization", "Bearer "+l.options.Key)
-	resp, err := l.client.Do(req)
+	req.Header.Set("Authorization", "Bearer "+key)
+	resp, err := client.Do(req)
 	if err != nil {
-		return answer{err: err}
+		return Answer{Err: err}
 	}
 	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, resp.Body)
-	return answer{resp.StatusCode, resp.Header.Get(forward.HeaderErrorKind), err}
+	return Answer{resp.StatusCode, resp.Header, err}
 }
--- a/internal/standin/fleet/measured.go
+++ b/internal/standin/fleet/measured.go
@@ -7,10 +7,10 @@
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 )
 
-// Names of a measured fleet.
+// MeasuredCustomer is the customer of a measured fleet, measuredService its service.
 const (
 	MeasuredCustomer = "measurement"
-	MeasuredService  = "stock"
+	measuredService  = "stock"
 )
 
 // Measured describes a fleet for a measurement: one service, and one customer whose limits are out of reach.
@@ -46,9 +46,9 @@
 	return Layout{
 		DataCentres: []contract.DataCentre{{DataCentre: "dc1", Region: "r1"}, {DataCentre: "dc2", Region: "r1"}},
 		VMs:         m.VMs, BackendsPerService: m.Backends, Slots: m.Slots,
-		Services: []contract.Service{{Service: MeasuredService, Preset: m.Preset, Detector: map[string]float64{"coldStart": 2}}},
+		Services: []contract.Service{{Service: measuredService, Preset: m.Preset, Detector: map[string]float64{"coldStart": 2}}},
 		Contracts: []contract.Contract{{
-			Customer: MeasuredCustomer, Routes: []contract.Route{{PathPrefix: "/", Service: MeasuredService}},
+			Customer: MeasuredCustomer, Routes: []contract.Route{{PathPrefix: "/", Service: measuredService}},
 			Limits: contract.Limits{RatePerSecond: 100_000, Concurrency: 10_000},
 		}},
 	}
