Compress with gzip in one place

internal/inforce and internal/configsync had the same code with a pool of writers each, of which every writer takes 800 KB. Both use internal/compress, so that a daemon keeps one pool. The bound that inforce now gives for its own content is that of a value, which was checked when the content was taken.

--- a/internal/configsync/own_test.go
+++ b/internal/configsync/own_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/membership"
 )
@@ -17,7 +18,7 @@
 	s := NewSyncer(now, SyncerConfig{Members: members, Store: NewStore(), Random: rand.New(rand.NewPCG(1, 1))})
 	s.finishStart()
 	const name = "contracts/001"
-	if _, _, err := s.store.Put(name, 5, Compress([]byte(`{"documents":[]}`))); err != nil {
+	if _, _, err := s.store.Put(name, 5, compress.Pack([]byte(`{"documents":[]}`))); err != nil {
 		t.Fatal(err)
 	}
 	v, _ := s.store.Get(name)
--- a/internal/configsync/reading.go
+++ b/internal/configsync/reading.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 	"github.com/cowsliprun/cowsliprun/internal/membership"
 	"github.com/cowsliprun/cowsliprun/internal/platform"
 )
@@ -262,7 +263,7 @@
 	if !s.callDone(now, err) {
 		return 0
 	}
-	stored := s.Receive(now, SourcePlatform, []Value{{Revision: Revision{Name: v.Name, Revision: v.Revision}, Data: Compress(v.Data)}})
+	stored := s.Receive(now, SourcePlatform, []Value{{Revision: Revision{Name: v.Name, Revision: v.Revision}, Data: compress.Pack(v.Data)}})
 	if wanted := s.read.toRead[step.Name]; s.store.Revision(step.Name) < wanted {
 		s.badRead(now, step.Name, fmt.Sprintf("the platform listed revision %d and answers %d", wanted, v.Revision))
 	}
@@ -304,7 +305,7 @@
 	if err != nil || list.Revision <= s.store.Revision(ListName) {
 		return 0
 	}
-	return s.Receive(now, SourcePlatform, []Value{{Revision: Revision{Name: ListName, Revision: list.Revision}, Data: Compress(content)}})
+	return s.Receive(now, SourcePlatform, []Value{{Revision: Revision{Name: ListName, Revision: list.Revision}, Data: compress.Pack(content)}})
 }
 
 // callDone keeps account of the platform's health and reports whether the call succeeded.
--- a/internal/configsync/residue.go
+++ b/internal/configsync/residue.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 )
 
 const (
@@ -59,7 +61,7 @@
 func (s *Store) SetApplied(applied Value, residue []byte) bool {
 	applied.Residue, applied.Residues, applied.Carried = 0, nil, nil
 	if len(residue) > 0 {
-		applied.Residue, applied.Residues = xxhash.Sum64(residue), [][]byte{Compress(residue)}
+		applied.Residue, applied.Residues = xxhash.Sum64(residue), [][]byte{compress.Pack(residue)}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -95,7 +97,7 @@
 
 // RememberOwn keeps a residue of this daemon itself until it is merged like that of a peer.
 func (s *Syncer) RememberOwn(now time.Time, name string, residue []byte) {
-	s.remember(Event{At: now, Name: name, Source: s.cfg.Members.Self().ID}, Compress(residue), false)
+	s.remember(Event{At: now, Name: name, Source: s.cfg.Members.Self().ID}, compress.Pack(residue), false)
 }
 
 // remember keeps a memory until it is merged. It returns false when there is nothing new in it.
@@ -104,7 +106,7 @@
 	if !holdsDocuments(name) {
 		return false
 	}
-	content, err := decompress(data)
+	content, err := unpack(data)
 	if err != nil {
 		event.Kind, event.Reason = EventRefused, "residue: "+err.Error()
 		s.cfg.Emit(event)
--- a/internal/configsync/residue_bench_test.go
+++ b/internal/configsync/residue_bench_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/membership"
 	"github.com/cowsliprun/cowsliprun/internal/peerapi"
@@ -44,7 +45,7 @@
 	r := New(Options{Members: membership.New(membership.Config{Self: membership.VM{ID: "vm-001"}})})
 	content := encoded(tb, contract.Residue{Kept: bucketOf(3)}) // a value is a valid residue
 	for i, name := range contract.ValueNames() {
-		r.receive("test", []Value{{Revision: Revision{Name: name, Revision: uint64(100_000 + i)}, Data: Compress(content)}})
+		r.receive("test", []Value{{Revision: Revision{Name: name, Revision: uint64(100_000 + i)}, Data: compress.Pack(content)}})
 		v, _ := r.store.Get(name)
 		data := residue
 		if i >= withResidue {
--- a/internal/configsync/residue_test.go
+++ b/internal/configsync/residue_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/inforce"
 	"pgregory.net/rapid"
@@ -52,7 +53,7 @@
 	out := map[contract.Ref]uint64{}
 	v, _ := d.syncer.store.Get(DataCentresName)
 	for _, packed := range v.Residues {
-		content, err := decompress(packed)
+		content, err := unpack(packed)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -208,7 +209,7 @@
 
 func contractOf(revision uint64, generation int) Value {
 	content := fmt.Sprintf(`{"documents":[{"apiVersion":%q,"kind":"DataCentre","dataCentre":"a","generation":%d,"region":"r"}]}`, contract.APIVersion, generation)
-	return Value{Revision: Revision{Name: DataCentresName, Revision: revision}, Data: Compress([]byte(content))}
+	return Value{Revision: Revision{Name: DataCentresName, Revision: revision}, Data: compress.Pack([]byte(content))}
 }
 
 // Guards against a replaced daemon that serves an older generation than the peer it asked had in force, because one of them
--- a/internal/configsync/runner_test.go
+++ b/internal/configsync/runner_test.go
@@ -15,6 +15,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 	"github.com/cowsliprun/cowsliprun/internal/membership"
 	"github.com/cowsliprun/cowsliprun/internal/peerapi"
 	"github.com/cowsliprun/cowsliprun/internal/peerapi/peerapiconnect"
@@ -222,7 +223,7 @@
 			x ^= x << 5
 			noise[j] = byte(x)
 		}
-		r.receive("test", []Value{{Revision: Revision{Name: names[i], Revision: 1}, Data: Compress(noise)}})
+		r.receive("test", []Value{{Revision: Revision{Name: names[i], Revision: 1}, Data: compress.Pack(noise)}})
 	}
 	mux := http.NewServeMux()
 	mux.Handle(peerapiconnect.NewPeerServiceHandler(struct {
--- a/internal/configsync/scenario_test.go
+++ b/internal/configsync/scenario_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 	"github.com/cowsliprun/cowsliprun/internal/membership"
 	"github.com/cowsliprun/cowsliprun/internal/platform"
 	"pgregory.net/rapid"
@@ -48,7 +49,7 @@
 		peer, fresh := m.daemons[0], m.daemons[1]
 		for _, name := range []string{VMsName, IndexName, "contracts/000", "contracts/001"} {
 			v := m.platform.at(name)
-			peer.syncer.Receive(m.now, SourcePlatform, []Value{{Revision: Revision{Name: name, Revision: v.Revision}, Data: Compress(v.Data)}})
+			peer.syncer.Receive(m.now, SourcePlatform, []Value{{Revision: Revision{Name: name, Revision: v.Revision}, Data: compress.Pack(v.Data)}})
 		}
 		m.apply(peer)
 		m.platform.upTo = 4
@@ -204,7 +205,7 @@
 		m.run(t, 20*time.Second)
 		m.platform.down = true
 		source := m.daemons[0]
-		source.syncer.Receive(m.now, SourcePlatform, []Value{{Revision: Revision{Name: "contracts/000", Revision: 9}, Data: Compress([]byte("new"))}})
+		source.syncer.Receive(m.now, SourcePlatform, []Value{{Revision: Revision{Name: "contracts/000", Revision: 9}, Data: compress.Pack([]byte("new"))}})
 		offer, _ := source.syncer.store.Get("contracts/000")
 		for _, d := range m.daemons[1:] {
 			if wanted := d.syncer.Offered(m.now, source.vm.ID, []Revision{offer.Revision}); len(wanted) != 1 {
--- a/internal/configsync/store.go
+++ b/internal/configsync/store.go
@@ -1,16 +1,15 @@
 package configsync
 
 import (
-	"bytes"
-	"compress/gzip"
 	"encoding/binary"
 	"errors"
-	"io"
 	"slices"
 	"strings"
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 )
 
 const (
@@ -61,7 +60,7 @@
 }
 
 // Content returns the decompressed content.
-func (v Value) Content() ([]byte, error) { return decompress(v.Data) }
+func (v Value) Content() ([]byte, error) { return unpack(v.Data) }
 
 // Outcome says what Put did.
 type Outcome uint8
@@ -104,7 +103,7 @@
 	if held := s.Revision(name); held > revision {
 		return Older, held, nil
 	}
-	content, err := decompress(data)
+	content, err := unpack(data)
 	if err != nil {
 		return Invalid, s.Revision(name), err
 	}
@@ -194,31 +193,10 @@
 	})
 }
 
-// Writers and readers of gzip are kept, because a new writer takes 800 KB of memory.
-var (
-	writers = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
-	readers = sync.Pool{New: func() any { return new(gzip.Reader) }}
-)
-
-// Compress returns content compressed with gzip.
-func Compress(content []byte) []byte {
-	var b bytes.Buffer
-	w, _ := writers.Get().(*gzip.Writer)
-	defer writers.Put(w)
-	w.Reset(&b)
-	_, _ = w.Write(content) // a bytes.Buffer accepts everything
-	_ = w.Close()
-	return b.Bytes()
-}
-
-func decompress(data []byte) ([]byte, error) {
-	r, _ := readers.Get().(*gzip.Reader)
-	defer readers.Put(r)
-	if err := r.Reset(bytes.NewReader(data)); err != nil {
-		return nil, ErrContent
-	}
-	content, err := io.ReadAll(io.LimitReader(r, maxContentBytes+1))
-	if err != nil || len(content) > maxContentBytes {
+// unpack returns the content of data, or ErrContent.
+func unpack(data []byte) ([]byte, error) {
+	content, err := compress.Unpack(data, maxContentBytes)
+	if err != nil {
 		return nil, ErrContent
 	}
 	return content, nil
--- a/internal/configsync/store_test.go
+++ b/internal/configsync/store_test.go
@@ -9,6 +9,8 @@
 
 	_ "github.com/cowsliprun/cowsliprun/internal/rapidseed"
 	"pgregory.net/rapid"
+
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 )
 
 // Compares the store with a map, so that no order of arrival lowers a revision, replaces content at an equal revision, or
@@ -35,7 +37,7 @@
 				default:
 					model[name] = e
 				}
-				got, before, err := s.Put(name, e.revision, Compress([]byte(e.content)))
+				got, before, err := s.Put(name, e.revision, compress.Pack([]byte(e.content)))
 				if got != want || before != held.revision || err != nil {
 					t.Fatalf("Put = %d, %d, %v; want %d, %d", got, before, err, want, held.revision)
 				}
@@ -44,7 +46,7 @@
 				again, highest := NewStore(), uint64(0)
 				for name, e := range model {
 					highest = max(highest, e.revision)
-					if _, _, err := again.Put(name, e.revision, Compress([]byte(e.content))); err != nil {
+					if _, _, err := again.Put(name, e.revision, compress.Pack([]byte(e.content))); err != nil {
 						t.Fatal(err)
 					}
 					v, _ := s.Get(name)
@@ -69,24 +71,24 @@
 		data     []byte
 		want     error
 	}{
-		{"index", 0, Compress(nil), ErrZero},
-		{"", 1, Compress(nil), ErrName},
-		{"contracts/../x", 1, Compress(nil), ErrName},
-		{strings.Repeat("a", maxNameBytes+1), 1, Compress(nil), ErrName},
+		{"index", 0, compress.Pack(nil), ErrZero},
+		{"", 1, compress.Pack(nil), ErrName},
+		{"contracts/../x", 1, compress.Pack(nil), ErrName},
+		{strings.Repeat("a", maxNameBytes+1), 1, compress.Pack(nil), ErrName},
 		{"index", 1, []byte("plain"), ErrContent},
-		{"index", 1, Compress([]byte("cut"))[:20], ErrContent},
-		{"index", 1, Compress(bytes.Repeat([]byte("x"), maxContentBytes+1)), ErrContent},
+		{"index", 1, compress.Pack([]byte("cut"))[:20], ErrContent},
+		{"index", 1, compress.Pack(bytes.Repeat([]byte("x"), maxContentBytes+1)), ErrContent},
 	} {
 		if outcome, _, err := s.Put(c.name, c.revision, c.data); outcome != Invalid || !errors.Is(err, c.want) {
 			t.Errorf("Put(%q, %d) = %d, %v, want %v", c.name, c.revision, outcome, err, c.want)
 		}
 	}
 	for i := range maxValues {
-		if _, _, err := s.Put(fmt.Sprint(i), 1, Compress(nil)); err != nil {
+		if _, _, err := s.Put(fmt.Sprint(i), 1, compress.Pack(nil)); err != nil {
 			t.Fatal(err)
 		}
 	}
-	if outcome, _, err := s.Put("one-more", 1, Compress(nil)); outcome != Invalid || !errors.Is(err, ErrFull) {
+	if outcome, _, err := s.Put("one-more", 1, compress.Pack(nil)); outcome != Invalid || !errors.Is(err, ErrFull) {
 		t.Errorf("Put into a full store = %d, %v", outcome, err)
 	}
 }
--- a/internal/inforce/book.go
+++ b/internal/inforce/book.go
@@ -1,16 +1,14 @@
 package inforce
 
 import (
-	"bytes"
-	"compress/gzip"
 	"errors"
 	"fmt"
-	"io"
 	"slices"
 	"sync"
 	"sync/atomic"
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/ejection"
 )
@@ -100,11 +98,7 @@
 
 // keep replaces what is in force of a value. The caller holds mu.
 func (b *Book) keep(name string, content []byte, value contract.Value, before, after contract.InForce, residues []sourced) (Result, error) {
-	packed, err := compress(content)
-	if err != nil {
-		return Result{}, err
-	}
-	h := held{revision: after.Revision, content: packed, residue: after.Residue(value)}
+	h := held{revision: after.Revision, content: compress.Pack(content), residue: after.Residue(value)}
 	h.residue.Claims = contract.ClaimsOf(after.Documents, b.claims(name, residues))
 	residue, omitted, err := b.encode(name, h.residue)
 	if err != nil {
@@ -200,7 +194,7 @@
 	if !ok {
 		return contract.InForce{}, nil
 	}
-	content, err := decompress(h.content)
+	content, err := compress.Unpack(h.content, contract.MaxValueBytes)
 	if err != nil {
 		return contract.InForce{}, err
 	}
@@ -239,28 +233,3 @@
 	})
 	return list
 }
-
-// writers are kept, because a new one takes 800 KB of memory.
-var writers = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
-
-func compress(content []byte) ([]byte, error) {
-	var out bytes.Buffer
-	w, _ := writers.Get().(*gzip.Writer)
-	defer writers.Put(w)
-	w.Reset(&out)
-	if _, err := w.Write(content); err != nil {
-		return nil, err
-	}
-	if err := w.Close(); err != nil {
-		return nil, err
-	}
-	return slices.Clip(out.Bytes()), nil
-}
-
-func decompress(packed []byte) ([]byte, error) {
-	r, err := gzip.NewReader(bytes.NewReader(packed))
-	if err != nil {
-		return nil, err
-	}
-	return io.ReadAll(r)
-}
--- a/internal/inforce/memory.go
+++ b/internal/inforce/memory.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/cowsliprun/cowsliprun/internal/compress"
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/ejection"
 )
@@ -61,7 +62,7 @@
 	if len(residues) > 0 {
 		content := []byte(`{"documents":[]}`)
 		if h, ok := b.values[name]; ok {
-			if content, err = decompress(h.content); err != nil {
+			if content, err = compress.Unpack(h.content, contract.MaxValueBytes); err != nil {
 				return Result{}, err
 			}
 		}
