Remove twins in catalog, inforce, contract and membership

- catalog: sameAs repeated what byService says, and two closures what byName says.
The table compares by the order in all cases.
- contract: Claim.Precedes was called by a test only.
The test states the rule itself, as strictly.
- inforce: the residue of an unchanged value was completed and encoded in two places.
- membership: PushTargets and StartOrder split the peers by data centre with the same loop.
No behaviour changes.

--- a/internal/catalog/build.go
+++ b/internal/catalog/build.go
@@ -70,7 +70,7 @@
 type claimed struct{ kind, document, id string }
 
 func claimsOf(src Source) claims {
-	c := claims{revision: src.Revision, earlier: map[claimed]uint64{}}
+	c := claims{revision: src.Revision, earlier: make(map[claimed]uint64, len(src.Claims))}
 	for _, e := range src.Claims {
 		c.earlier[claimed{e.Ref.Kind, e.Ref.Name, e.ID}] = e.Since
 	}
@@ -143,7 +143,7 @@
 		}
 	}
 	for _, c := range before {
-		e.customers.remove(hashOf(c.Name), func(other *Customer) bool { return other.Name == c.Name })
+		e.customers.remove(hashOf(c.Name), c, byName)
 		e.removeKeys(c, nil)
 	}
 }
@@ -152,7 +152,7 @@
 	for k := range c.keys {
 		hash := c.keys[k].hash()
 		if !slices.ContainsFunc(except, func(d KeyDigest) bool { return d.hash() == hash }) {
-			e.keys.remove(hash, func(other *Customer) bool { return other.Name == c.Name })
+			e.keys.remove(hash, c, byName)
 		}
 	}
 }
@@ -185,16 +185,12 @@
 		}
 		for _, b := range svc.BackendServers {
 			if !present[b.ID+" "+b.Service] {
-				e.backends.remove(hashOf(b.ID), b.sameAs)
+				e.backends.remove(hashOf(b.ID), b, byService)
 			}
 		}
 	}
 }
 
-func (b *BackendServer) sameAs(other *BackendServer) bool {
-	return other.ID == b.ID && other.Service == b.Service
-}
-
 // putBackend reports whether another service lists the backend server too.
 func (e *Edit) putBackend(b *BackendServer, since uint64) (contested bool) {
 	contested = e.backends.put(hashOf(b.ID), since, b, byService) > 1
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -145,8 +145,8 @@
 				}
 			}
 			sources[i] = src
-			if c := (contract.Claim{Ref: contract.Ref{Name: name}, Since: since}); c.Precedes(want) {
-				want = c
+			if since < want.Since || since == want.Since && name < want.Ref.Name {
+				want = contract.Claim{Ref: contract.Ref{Name: name}, Since: since}
 			}
 		}
 		s := Build(nil)
--- a/internal/catalog/table.go
+++ b/internal/catalog/table.go
@@ -84,7 +84,7 @@
 // the new one is lower. It returns the number of entries of the hash.
 func (e *tableEdit[V]) put(hash, rank uint64, value *V, order func(a, b *V) int) (entries int) {
 	slot := e.own(hash)
-	if i := indexOf(*slot, hash, func(other *V) bool { return order(value, other) == 0 }); i >= 0 {
+	if i := indexOf(*slot, hash, value, order); i >= 0 {
 		rank = min(rank, (*slot)[i].rank)
 		*slot = slices.Delete(*slot, i, i+1)
 		e.count--
@@ -105,17 +105,17 @@
 	return entries
 }
 
-// remove drops the entry of the hash that same accepts.
-func (e *tableEdit[V]) remove(hash uint64, same func(*V) bool) {
+// remove drops the entry of the hash that is equal by order.
+func (e *tableEdit[V]) remove(hash uint64, value *V, order func(a, b *V) int) {
 	slot := e.own(hash)
-	if i := indexOf(*slot, hash, same); i >= 0 {
+	if i := indexOf(*slot, hash, value, order); i >= 0 {
 		*slot = slices.Delete(*slot, i, i+1)
 		e.count--
 	}
 }
 
-func indexOf[V any](slot []entry[V], hash uint64, same func(*V) bool) int {
-	return slices.IndexFunc(slot, func(e entry[V]) bool { return e.hash == hash && same(e.value) })
+func indexOf[V any](slot []entry[V], hash uint64, value *V, order func(a, b *V) int) int {
+	return slices.IndexFunc(slot, func(e entry[V]) bool { return e.hash == hash && order(value, e.value) == 0 })
 }
 
 // finish returns the new version. Slots that grew by appending give back their unused capacity.
--- a/internal/contract/claim.go
+++ b/internal/contract/claim.go
@@ -18,11 +18,6 @@
 	Since uint64 `json:"since"`
 }
 
-// Precedes reports whether c holds the identifier against other. At an equal revision the name of the document decides.
-func (c Claim) Precedes(other Claim) bool {
-	return cmp.Or(cmp.Compare(c.Since, other.Since), compareRefs(c.Ref, other.Ref)) < 0
-}
-
 // Identifiers returns what the document lists and no other may list.
 func Identifiers(doc Document) []string {
 	switch d := doc.(type) {
--- a/internal/contract/residue.go
+++ b/internal/contract/residue.go
@@ -26,6 +26,9 @@
 	Claims    []Claim
 }
 
+// Len returns the number of items left out.
+func (o Omitted) Len() int { return len(o.Documents) + len(o.Claims) }
+
 // EncodeResidue returns the documents kept, the deletions and the claims in canonical form, or nil when there are none. Claims
 // beyond MaxClaims and documents that do not fit into MaxResidueBytes are left out in the order of their names, so that equal
 // residues have equal encodings.
--- a/internal/daemon/configaudit.go
+++ b/internal/daemon/configaudit.go
@@ -126,7 +126,7 @@
 
 // auditOmitted reports what is in force here and does not travel to other daemons, since the residue of the value is full.
 func (d *Daemon) auditOmitted(name string, rev uint64, omitted contract.Omitted) {
-	total := len(omitted.Documents) + len(omitted.Claims)
+	total := omitted.Len()
 	if total == 0 {
 		return
 	}
--- a/internal/inforce/book.go
+++ b/internal/inforce/book.go
@@ -84,9 +84,7 @@
 	}
 	after, findings := contract.Recall(name, before, revision, value, contents(residues)...)
 	if after.Revision == before.Revision && len(residues) == 0 {
-		left := after.Residue(value)
-		left.Claims = b.values[name].residue.Claims
-		residue, omitted, err := b.encode(name, left)
+		residue, omitted, err := b.encodeUnchanged(name, after.Residue(value))
 		return Result{Findings: findings, Refused: refused, Residue: residue, Omitted: omitted}, err
 	}
 	plain, _ := contract.Merge(name, before, revision, value)
@@ -118,7 +116,7 @@
 	}
 	reported := b.omitted[name]
 	delete(b.omitted, name)
-	if len(omitted.Documents)+len(omitted.Claims) > 0 {
+	if omitted.Len() > 0 {
 		b.omitted[name] = omitted
 	}
 	if slices.Equal(reported.Documents, omitted.Documents) && slices.Equal(reported.Claims, omitted.Claims) {
@@ -127,6 +125,12 @@
 	return data, omitted, nil
 }
 
+// encodeUnchanged is encode with the claims that are held already. The caller holds mu.
+func (b *Book) encodeUnchanged(name string, residue contract.Residue) ([]byte, contract.Omitted, error) {
+	residue.Claims = b.values[name].residue.Claims
+	return b.encode(name, residue)
+}
+
 func (b *Book) put(name string, after contract.InForce) {
 	if b.edit == nil {
 		base := b.snapshot.Load()
--- a/internal/inforce/memory.go
+++ b/internal/inforce/memory.go
@@ -75,11 +75,9 @@
 		}
 		result.Findings = b.note(name, append(slices.Clone(b.findings[name]), b.recalled(name, revision, value, before, after, residues)...))
 	}
-	left := after.Residue(contract.Value{})
-	left.Claims = b.values[name].residue.Claims
-	residue, omitted, err := b.encode(name, left)
+	residue, omitted, err := b.encodeUnchanged(name, after.Residue(contract.Value{}))
 	result.Residue = residue
-	if len(omitted.Documents)+len(omitted.Claims) > 0 {
+	if omitted.Len() > 0 {
 		result.Omitted = omitted
 	}
 	return result, err
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -109,10 +109,8 @@
 	return peers[random.IntN(len(peers))], true
 }
 
-// PushTargets returns up to n random peers of the own data centre. For a reader, and for a daemon that has no peer in its
-// own data centre, it adds one in another.
-func (m *Members) PushTargets(now time.Time, random *rand.Rand, n int, reader bool) []VM {
-	var own, other []VM
+// peersByDataCentre returns the peers in the own data centre and those in others, in the order of Peers.
+func (m *Members) peersByDataCentre(now time.Time) (own, other []VM) {
 	for _, vm := range m.Peers(now) {
 		if vm.DataCentre == m.cfg.Self.DataCentre {
 			own = append(own, vm)
@@ -120,6 +118,13 @@
 			other = append(other, vm)
 		}
 	}
+	return own, other
+}
+
+// PushTargets returns up to n random peers of the own data centre. For a reader, and for a daemon that has no peer in its
+// own data centre, it adds one in another.
+func (m *Members) PushTargets(now time.Time, random *rand.Rand, n int, reader bool) []VM {
+	own, other := m.peersByDataCentre(now)
 	random.Shuffle(len(own), func(i, j int) { own[i], own[j] = own[j], own[i] })
 	targets := own[:min(n, len(own))]
 	if (reader || len(own) == 0) && len(other) > 0 {
@@ -131,14 +136,7 @@
 // StartOrder returns the peers in the order in which a starting daemon asks them: own and other data centres take turns,
 // so that the first three are in at least two data centres when such peers are usable. Seeds come last.
 func (m *Members) StartOrder(now time.Time) []VM {
-	var own, other []VM
-	for _, vm := range m.Peers(now) {
-		if vm.DataCentre == m.cfg.Self.DataCentre {
-			own = append(own, vm)
-		} else {
-			other = append(other, vm)
-		}
-	}
+	own, other := m.peersByDataCentre(now)
 	var order []VM
 	for len(own)+len(other) > 0 {
 		if len(own) > 0 {
