Build unconnected daemons of tests in one place

newIdleWith and newUnconnected both made a daemon that nothing reaches, and the first opened sockets that its users did not need. The test of a contested key publishes by publishApplied in place of a goroutine and polls of the log. The test of the standard log uses one transport: the reason for one per request, a surplus that is read as the next response, no longer holds. Assertions are unchanged.

--- a/internal/daemon/admin_test.go
+++ b/internal/daemon/admin_test.go
@@ -20,11 +20,6 @@
 
 // newIdle returns a daemon whose platform answers every call with an error, so that it never has a configuration.
 func newIdle(t *testing.T) *Daemon {
-	t.Helper()
-	return newIdleWith(t, Options{Log: io.Discard, Audit: io.Discard})
-}
-
-func newIdleWith(t *testing.T, o Options) *Daemon {
 	t.Helper()
 	platform := httptest.NewServer(http.NotFoundHandler())
 	t.Cleanup(platform.Close)
@@ -32,7 +27,7 @@
 	s.VM, s.DataCentre, s.Region = "vm1", "dc1", "r1"
 	s.Listen = settings.Listen{Callers: "127.0.0.1:0", Peer: "127.0.0.1:0", Admin: "127.0.0.1:0"}
 	s.Platform.URLs = []string{platform.URL}
-	d, err := New(s, o)
+	d, err := New(s, Options{Log: io.Discard, Audit: io.Discard})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/daemon/configuration_test.go
+++ b/internal/daemon/configuration_test.go
@@ -1,11 +1,9 @@
 package daemon
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/configsync"
@@ -49,18 +47,13 @@
 // Guards against an API key in two contracts that no one learns of, and against a new contract that takes the key away.
 func TestContestedKeyIsReportedAndStays(t *testing.T) {
 	var log, trail lockedBuffer
-	d := newIdleWith(t, Options{Log: &log, Audit: &trail})
+	d := newUnconnectedWith(t, Options{Log: &log, Audit: &trail})
 	mustApply(t, d, "grocer", 1, contractOf("grocer", 1, "shared"))
 	mustApply(t, d, "alpha", 2, contractOf("alpha", 9, "shared"))
 	mustApply(t, d, "grocer", 3, contractOf("grocer", 2, "shared"))
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() { defer close(done); d.publish(ctx) }()
-	for i := 0; !strings.Contains(log.String(), "Two documents") && i < 1000; i++ {
-		time.Sleep(10 * time.Millisecond)
+	if !d.publishApplied() {
+		t.Fatal("no configuration")
 	}
-	cancel()
-	<-done
 	if c := d.book.Snapshot().CustomerByKey(catalog.DigestOf("shared")); c == nil || c.Name != "grocer" {
 		t.Errorf("the key belongs to %+v", c)
 	}
@@ -72,7 +65,7 @@
 // fault, whether it is one document or the whole residue, and the good documents must be taken.
 func TestRefusedResiduesAreReported(t *testing.T) {
 	var log, trail lockedBuffer
-	d := newIdleWith(t, Options{Log: &log, Audit: &trail})
+	d := newUnconnectedWith(t, Options{Log: &log, Audit: &trail})
 	name := valueOf("grocer")
 	good, bad := contractOf("grocer", 5, "k"), strings.Replace(contractOf("grocer", 6, "k"), `"concurrency":1`, `"concurrency":-1`, 1)
 	mustApply(t, d, "grocer", 3, contractOf("grocer", 1, "k"),
@@ -97,7 +90,7 @@
 // Guards against a full residue that no one learns of: what is in force here is then unknown to daemons that start.
 func TestFullResidueIsInLogAndAuditTrail(t *testing.T) {
 	var log, trail lockedBuffer
-	d := newIdleWith(t, Options{Log: &log, Audit: &trail})
+	d := newUnconnectedWith(t, Options{Log: &log, Audit: &trail})
 	ref := contract.Ref{Kind: contract.KindService, Name: "stock"}
 	var servers []string
 	var claims []contract.Claim
--- a/internal/daemon/errorlog_test.go
+++ b/internal/daemon/errorlog_test.go
@@ -123,10 +123,9 @@
 			conn.Close()
 		}
 	}()
+	transport := forward.NewBackendTransport()
+	defer transport.CloseIdleConnections()
 	for range 20 {
-		// A connection for each request: on a reused one the surplus may be read as the next response.
-		transport := forward.NewBackendTransport()
-		defer transport.CloseIdleConnections()
 		resp, err := (&http.Client{Transport: transport}).Get("http://" + listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
--- a/internal/daemon/start_test.go
+++ b/internal/daemon/start_test.go
@@ -15,11 +15,16 @@
 
 // newUnconnected returns a daemon without listeners, whose platform is never called.
 func newUnconnected(t testing.TB) *Daemon {
+	t.Helper()
+	return newUnconnectedWith(t, Options{Log: io.Discard, Audit: io.Discard})
+}
+
+func newUnconnectedWith(t testing.TB, o Options) *Daemon {
 	t.Helper()
 	s := settings.Default()
 	s.VM, s.DataCentre, s.Region = "vm1", "dc1", "r1"
 	s.Platform.URLs = []string{"http://127.0.0.1:1"}
-	d, err := build(s, Options{Log: io.Discard, Audit: io.Discard})
+	d, err := build(s, o)
 	if err != nil {
 		t.Fatal(err)
 	}
