Say why a stream between daemons ended, and count what the feed sends

The hypotheses of the incident could not be told apart: a stream that was cut off after 1.2 s without a frame said "context canceled", as one does that ends for any other reason, and no metric showed how much a reader sends or how often a full state goes out. The log line now gives the reason and how much of a frame had arrived; three counters show bytes, full states and broken streams. No decision changes.

--- a/internal/daemon/registrymetrics.go
+++ b/internal/daemon/registrymetrics.go
@@ -1,8 +1,11 @@
 package daemon
 
 import (
+	"io"
 	"runtime"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/cowsliprun/cowsliprun/internal/registry"
 )
 
@@ -17,6 +20,15 @@
 	set.NewGauge("cowslip_registry_reader", func() float64 { return boolGauge(d.feed.Reading()) })
 	set.NewGauge("cowslip_registry_followers", func() float64 { return float64(d.feed.Followers()) })
 	set.NewGauge("cowslip_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
+	set.RegisterMetricsWriter(d.writeFeedMetrics)
+}
+
+// writeFeedMetrics writes the counts of the feed.
+func (d *RegistryDaemon) writeFeedMetrics(w io.Writer) {
+	stats := d.feed.Stats()
+	metrics.WriteCounterUint64(w, "cowslip_registry_sent_bytes_total", stats.SentBytes)
+	metrics.WriteCounterUint64(w, "cowslip_registry_full_states_total", stats.FullStates)
+	metrics.WriteCounterUint64(w, "cowslip_registry_broken_streams_total", stats.BrokenStreams)
 }
 
 // noteUnknownKinds counts and logs the routes of a new configuration whose kind this version does
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/pause"
@@ -37,6 +38,9 @@
 	// closed is closed to end all streams.
 	closed chan struct{}
 
+	// sentBytes counts the bytes sent to followers, fullStates the full states among them.
+	sentBytes, fullStates atomic.Uint64
+
 	mu        sync.Mutex
 	followers map[*follower]struct{}
 	// recent are the encoded changes of late. The number of the first one is firstNumber.
@@ -198,6 +202,7 @@
 	if h.fallenBehind(f) {
 		state := h.encodedFullState()
 		frames = append(frames, state.data)
+		h.fullStates.Add(1)
 		h.mu.Lock()
 		f.needsFull, f.next = false, state.next
 		h.mu.Unlock()
@@ -266,6 +271,7 @@
 			if _, err := w.Write(data); err != nil {
 				return // the follower has disconnected, and will follow another daemon
 			}
+			h.sentBytes.Add(uint64(len(data)))
 		}
 		if controller.Flush() != nil {
 			return
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -70,6 +70,8 @@
 	// usualReader the last time at which one of the region's usual readers was known to reach it.
 	// Both are in nanoseconds since start.
 	confirmed, usualReader atomic.Int64
+	// brokenStreams counts the streams that broke.
+	brokenStreams atomic.Uint64
 	// nextPeek is the time of the next look for peers, and peekInterval the time from that to the
 	// one after it. Only the goroutine of Run uses them.
 	nextPeek     time.Time
@@ -133,6 +135,19 @@
 	return all
 }
 
+// Stats counts what a Source has done since its start.
+type Stats struct {
+	// SentBytes are the bytes sent to followers, FullStates the full states among them.
+	SentBytes, FullStates uint64
+	// BrokenStreams are the streams from other daemons that broke.
+	BrokenStreams uint64
+}
+
+// Stats returns the counts. Any goroutine may call it.
+func (s *Source) Stats() Stats {
+	return Stats{SentBytes: s.hub.sentBytes.Load(), FullStates: s.hub.fullStates.Load(), BrokenStreams: s.brokenStreams.Load()}
+}
+
 // Reading reports whether this daemon reads the store. Any goroutine may call it.
 func (s *Source) Reading() bool {
 	s.mu.Lock()
@@ -282,6 +297,7 @@
 		}
 		if ctx.Err() == nil {
 			s.avoidUntil[p.VM] = time.Now().Add(avoidDuration)
+			s.brokenStreams.Add(1)
 			s.options.Log.Warn("The stream of registrations from another daemon broke.", "vm", p.VM, "err", err)
 		}
 	}()
--- a/internal/feed/stream.go
+++ b/internal/feed/stream.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +14,21 @@
 	"github.com/cowsliprun/cowsliprun/internal/recovery"
 )
 
+// errSilent ends a stream that has brought no frame for too long.
+var errSilent = errors.New("no frame arrived in time")
+
+// countingReader counts the bytes of the frame that is being read.
+type countingReader struct {
+	source io.Reader
+	unread atomic.Int64
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	r.unread.Add(int64(n))
+	return n, err
+}
+
 // stream follows one daemon.
 type stream struct {
 	peer Peer
@@ -45,10 +62,22 @@
 // follow reads frames and passes them to handleFrame until ctx ends, the stream breaks or
 // streamTimeout passes without a frame. It always returns an error.
 func (s *stream) follow(ctx context.Context, transport http.RoundTripper, after uint64, handleFrame func(*stream, frame)) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	watchdog := time.AfterFunc(streamTimeout, cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	var received countingReader
+	watchdog := time.AfterFunc(streamTimeout, func() { cancel(errSilent) })
 	defer watchdog.Stop()
+	err := s.readFrames(ctx, transport, after, &received, watchdog, handleFrame)
+	if cause := context.Cause(ctx); cause != nil {
+		err = cause
+	}
+	return fmt.Errorf("%w (%d bytes of a frame had arrived)", err, received.unread.Load())
+}
+
+// readFrames does the work of follow.
+func (s *stream) readFrames(
+	ctx context.Context, transport http.RoundTripper, after uint64, received *countingReader, watchdog *time.Timer, handleFrame func(*stream, frame),
+) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, s.url(after), nil)
 	if err != nil {
 		return err
@@ -61,8 +90,10 @@
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("stream of registrations: got HTTP status %d, want 200", resp.StatusCode)
 	}
+	received.source = resp.Body
 	for {
-		f, err := readFrame(resp.Body, func() { watchdog.Reset(frameTimeout) })
+		received.unread.Store(0)
+		f, err := readFrame(received, func() { watchdog.Reset(frameTimeout) })
 		if err != nil {
 			return err
 		}
