Add failing tests of large configurations over narrow links

- 42 and 176 daemons with links of 14 Mbit/s: each configuration travels whole, twice to each follower.
- A transfer from the store that makes progress is given up after 2 s (list) or 2.6 s (watch) and begun again.
- A starting daemon reads the whole configuration only to find peers.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -32,10 +32,16 @@
 }
 
 func (s *memoryStore) put(id string) {
+	s.write(registry.Change{Key: id, Registration: &registry.Registration{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 1}})
+}
+
+// write writes a value at the next revision.
+func (s *memoryStore) write(c registry.Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.changes = append(s.changes, registry.Change{Key: id, Revision: s.revision, Registration: &registry.Registration{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 1}})
+	c.Revision = s.revision
+	s.changes = append(s.changes, c)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
--- a/internal/feed/region_test.go
+++ b/internal/feed/region_test.go
@@ -36,6 +36,8 @@
 	refused sync.Map
 	nodes   map[string]*regionNode
 	names   []string
+	// linkBytesPerSecond is the bandwidth of each VM's link. 0 means unlimited.
+	linkBytesPerSecond int64
 }
 
 // regionNode is one daemon of a region.
@@ -50,6 +52,8 @@
 	started, killed, cutOff atomic.Bool
 	// sentBytes counts what the daemon has sent to followers.
 	sentBytes atomic.Int64
+	// uplink carries what the daemon sends, if the region's links are limited.
+	uplink link
 
 	mu    sync.Mutex
 	table *registry.Table
@@ -160,9 +164,14 @@
 	}
 	r, w := io.Pipe()
 	context.AfterFunc(req.Context(), func() { r.CloseWithError(req.Context().Err()) })
+	writer := &regionWriter{from: to, to: n, pipe: w, ctx: req.Context()}
+	if bandwidth := n.region.linkBytesPerSecond; bandwidth > 0 {
+		writer.narrow = newNarrowWriter(req.Context(), &to.uplink, bandwidth, w)
+	}
 	go func() {
 		defer w.Close()
-		to.source.Handler().ServeHTTP(&regionWriter{from: to, to: n, pipe: w, ctx: req.Context()}, req)
+		to.source.Handler().ServeHTTP(writer, req)
+		writer.narrow.close()
 	}()
 	return &http.Response{StatusCode: http.StatusOK, Body: r}, nil
 }
@@ -172,6 +181,8 @@
 	from, to *regionNode
 	pipe     *io.PipeWriter
 	ctx      context.Context
+	// narrow is set if the link of the sender is limited.
+	narrow *narrowWriter
 }
 
 func (w *regionWriter) Header() http.Header { return http.Header{} }
@@ -184,6 +195,9 @@
 		return 0, w.ctx.Err()
 	}
 	w.from.sentBytes.Add(int64(len(p)))
+	if w.narrow != nil {
+		return w.narrow.Write(p)
+	}
 	return w.pipe.Write(p)
 }
 
@@ -240,7 +254,11 @@
 	if err := s.call(ctx, 1); err != nil {
 		return nil, 0, err
 	}
-	return s.daemonStore.Watch(ctx, after, wait)
+	changes, revision, err := s.daemonStore.Watch(ctx, after, wait)
+	if err == nil {
+		err = s.region.transfer(ctx, changes)
+	}
+	return changes, revision, err
 }
 
 // until returns how long it takes until the condition holds for all daemons that run and are not
