Leave the configuration out of a look for peers

Cause: each starting daemon reads the first page of the store to find peers, and the configuration, of up to 1 MB, is the first value on it; what is not there within 1.5 s is begun again. Only registrations name peers, so a look asks for these alone.

--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -23,7 +23,7 @@
 	// List returns all values and a revision above 0. Each value is as of this revision or a later
 	// one.
 	List(ctx context.Context) ([]Change, uint64, error)
-	// Peek returns some of the values, always the first ones of the same order. They may be
+	// Peek returns some of the registrations, always the first ones of the same order. They may be
 	// outdated, which costs the store less.
 	Peek(ctx context.Context) ([]Change, error)
 	// Watch returns the changes after a revision as soon as there are any, or none once wait has
