End transfers from the store by lack of progress, not at a fixed time

A reader gave a list up after 2 s and a watch after 2.6 s, also while its response arrived, and began again from the start. Over a narrow link the response then never comes whole, and a region has no change at all (CONFIG), nor the registrations in the same watch (DRAIN). Calls now end when nothing has arrived for 1 s (a page of a list: 2 s), and after 10 s in any case, so that bytes without end hold no reader.

--- a/internal/daemon/registry_limit_test.go
+++ b/internal/daemon/registry_limit_test.go
@@ -19,7 +19,7 @@
 // unavailableStore is a registry that fails every call.
 type unavailableStore struct{}
 
-func (unavailableStore) List(context.Context) ([]registry.Change, uint64, error) {
+func (unavailableStore) List(context.Context, func()) ([]registry.Change, uint64, error) {
 	return nil, 0, errors.New("away")
 }
 
@@ -27,7 +27,7 @@
 	return nil, errors.New("away")
 }
 
-func (unavailableStore) Watch(context.Context, uint64, time.Duration) ([]registry.Change, uint64, error) {
+func (unavailableStore) Watch(context.Context, uint64, time.Duration, func()) ([]registry.Change, uint64, error) {
 	return nil, 0, errors.New("away")
 }
 
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -65,17 +65,17 @@
 	vm string
 }
 
-func (v daemonStore) List(context.Context) ([]registry.Change, uint64, error) {
+func (v daemonStore) List(context.Context, func()) ([]registry.Change, uint64, error) {
 	changes, revision, _ := v.after(0)
 	return changes, revision, nil
 }
 
 func (v daemonStore) Peek(ctx context.Context) ([]registry.Change, error) {
-	changes, _, err := v.List(ctx)
+	changes, _, err := v.List(ctx, func() {})
 	return slices.DeleteFunc(changes, func(c registry.Change) bool { return c.Configuration != nil }), err
 }
 
-func (v daemonStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]registry.Change, uint64, error) {
+func (v daemonStore) Watch(ctx context.Context, after uint64, wait time.Duration, progress func()) ([]registry.Change, uint64, error) {
 	v.addWatchers(1)
 	defer v.addWatchers(-1)
 	timer := time.NewTimer(wait)
--- a/internal/feed/narrow_test.go
+++ b/internal/feed/narrow_test.go
@@ -103,7 +103,7 @@
 }
 
 // transfer takes the time for which the changes occupy the link of a VM that reads the store.
-func (r *region) transfer(ctx context.Context, changes []registry.Change) error {
+func (r *region) transfer(ctx context.Context, changes []registry.Change, progress func()) error {
 	if r.linkBytesPerSecond == 0 {
 		return nil
 	}
@@ -113,12 +113,13 @@
 			size += len(c.Routes) * storedRouteBytes
 		}
 	}
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(time.Duration(size) * time.Second / time.Duration(r.linkBytesPerSecond)):
-		return nil
+	for ; size > 0; size -= chunkBytes {
+		if !pause.For(ctx, time.Duration(min(size, chunkBytes))*time.Second/time.Duration(r.linkBytesPerSecond)) {
+			return ctx.Err()
+		}
+		progress()
 	}
+	return nil
 }
 
 // randomRoutes returns routes that compress no better than those of an operator.
--- a/internal/feed/region_test.go
+++ b/internal/feed/region_test.go
@@ -233,11 +233,14 @@
 	return nil
 }
 
-func (s regionStore) List(ctx context.Context) ([]registry.Change, uint64, error) {
-	changes, revision, err := s.daemonStore.List(ctx)
+func (s regionStore) List(ctx context.Context, progress func()) ([]registry.Change, uint64, error) {
+	changes, revision, err := s.daemonStore.List(ctx, progress)
 	if err == nil {
 		err = s.call(ctx, 1+len(changes)/regionPageItems)
 	}
+	if err == nil {
+		err = s.region.transfer(ctx, changes, progress)
+	}
 	return changes, revision, err
 }
 
@@ -250,13 +253,13 @@
 	return changes[:min(len(changes), regionPageItems)], err
 }
 
-func (s regionStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]registry.Change, uint64, error) {
+func (s regionStore) Watch(ctx context.Context, after uint64, wait time.Duration, progress func()) ([]registry.Change, uint64, error) {
 	if err := s.call(ctx, 1); err != nil {
 		return nil, 0, err
 	}
-	changes, revision, err := s.daemonStore.Watch(ctx, after, wait)
+	changes, revision, err := s.daemonStore.Watch(ctx, after, wait, progress)
 	if err == nil {
-		err = s.region.transfer(ctx, changes)
+		err = s.region.transfer(ctx, changes, progress)
 	}
 	return changes, revision, err
 }
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -15,20 +15,24 @@
 // available. The caller must list the store again.
 var ErrHistoryGone = errors.New("changes after the requested store revision are no longer available")
 
+// errStalled is the cause for which a call ends whose response makes no progress.
+var errStalled = errors.New("no part of the store's response arrived in time")
+
 // errNoRevision is the failure of a list without a revision.
 var errNoRevision = errors.New("the store returned a list without a revision")
 
 // Store is a client of the store that holds the configuration and the registrations.
 type Store interface {
 	// List returns all values and a revision above 0. Each value is as of this revision or a later
-	// one.
-	List(ctx context.Context) ([]Change, uint64, error)
+	// one. It calls progress whenever a part of a response arrives.
+	List(ctx context.Context, progress func()) ([]Change, uint64, error)
 	// Peek returns some of the registrations, always the first ones of the same order. They may be
 	// outdated, which costs the store less.
 	Peek(ctx context.Context) ([]Change, error)
 	// Watch returns the changes after a revision as soon as there are any, or none once wait has
-	// passed. It also returns the revision from which the next watch continues.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error)
+	// passed. It also returns the revision from which the next watch continues. It calls progress
+	// whenever a part of the response arrives.
+	Watch(ctx context.Context, after uint64, wait time.Duration, progress func()) ([]Change, uint64, error)
 }
 
 // Timing of a Reader.
@@ -38,13 +42,18 @@
 	// responseGrace, so the sum must stay below the time within which a change must arrive. Only
 	// few daemons read, so the store can bear the calls.
 	watchWait = 2 * time.Second
-	// responseGrace is added to watchWait for the time-out of a watch.
+	// responseGrace is added to watchWait for the time until the response to a watch begins.
 	responseGrace = 600 * time.Millisecond
 	// batchDelay is the pause after a watch with changes, so that one call returns all changes of a
 	// burst.
 	batchDelay = 300 * time.Millisecond
-	// listTimeout bounds a list call.
+	// listTimeout is the time-out of each response to a list.
 	listTimeout = 2 * time.Second
+	// stallTimeout ends a response of which nothing arrives for that time. A large one may take much
+	// longer over a narrow link, and would only be begun again.
+	stallTimeout = time.Second
+	// transferLimit bounds a call whose response never ends, however much of it arrives.
+	transferLimit = 10 * time.Second
 	// initialBackoff is the delay after the first failed call. It doubles with each further one, up
 	// to maxBackoff, which bounds how late the reader notices that the store is back.
 	initialBackoff = 100 * time.Millisecond
@@ -123,11 +132,12 @@
 }
 
 func (r *Reader) list(ctx context.Context, s *readerState) error {
-	callCtx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	changes, revision, err := r.store.List(callCtx)
+	w, callCtx := newWatchdog(ctx, listTimeout)
+	defer w.stop()
+	// The first part of the next page may take as long as that of the first one.
+	changes, revision, err := r.store.List(callCtx, func() { w.extend(listTimeout) })
 	if err != nil {
-		return err
+		return w.explain(err)
 	}
 	if revision == 0 {
 		return errNoRevision // a watch could not continue from it
@@ -138,15 +148,15 @@
 }
 
 func (r *Reader) watch(ctx context.Context, s *readerState) error {
-	callCtx, cancel := context.WithTimeout(ctx, watchWait+responseGrace)
-	defer cancel()
+	w, callCtx := newWatchdog(ctx, watchWait+responseGrace)
+	defer w.stop()
 	wait := watchWait
 	if s.probe {
 		wait = 0
 	}
-	changes, revision, err := r.store.Watch(callCtx, s.revision, wait)
+	changes, revision, err := r.store.Watch(callCtx, s.revision, wait, func() { w.extend(stallTimeout) })
 	if err != nil {
-		return err
+		return w.explain(err)
 	}
 	r.handleResponse(s, Update{Changes: changes, Revision: revision})
 	if len(changes) > 0 {
--- a/internal/registry/reader_test.go
+++ b/internal/registry/reader_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/telemetry"
 )
 
@@ -18,17 +19,17 @@
 	calls          int
 }
 
-func (s *scriptedStore) List(context.Context) ([]Change, uint64, error) {
+func (s *scriptedStore) List(context.Context, func()) ([]Change, uint64, error) {
 	s.calls++
 	return nextStep(&s.lists)
 }
 
 func (s *scriptedStore) Peek(ctx context.Context) ([]Change, error) {
-	changes, _, err := s.List(ctx)
+	changes, _, err := s.List(ctx, func() {})
 	return changes, err
 }
 
-func (s *scriptedStore) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Change, uint64, error) {
+func (s *scriptedStore) Watch(ctx context.Context, after uint64, wait time.Duration, progress func()) ([]Change, uint64, error) {
 	s.calls++
 	if len(s.watches) > 0 {
 		return nextStep(&s.watches)
@@ -139,3 +140,50 @@
 		}
 	})
 }
+
+// Guards against a response that stalls, or never ends, and keeps the reader from the changes.
+func TestReaderEndsTransfersWithoutEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		parts int
+		limit time.Duration
+	}{
+		"stalled": {5, 500*time.Millisecond + stallTimeout},
+		"endless": {1000, transferLimit},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				begin, ended := time.Now(), time.Duration(0)
+				store := &drippingStore{parts: c.parts, ended: func() { ended = time.Since(begin) }}
+				ctx, cancel := context.WithTimeout(t.Context(), c.limit+time.Second)
+				defer cancel()
+				NewReader(store, telemetry.Discard(), 37, func(Update) {}).Run(ctx)
+				if ended == 0 || ended > c.limit {
+					t.Errorf("ended after %v, want at most %v", ended, c.limit)
+				}
+			})
+		})
+	}
+}
+
+// drippingStore sends a number of parts of a response, one each 100 ms, and then nothing.
+type drippingStore struct {
+	scriptedStore
+	parts int
+	// ended is called when a call has ended.
+	ended func()
+}
+
+func (s *drippingStore) Watch(ctx context.Context, _ uint64, _ time.Duration, progress func()) ([]Change, uint64, error) {
+	for range s.parts {
+		if !pause.For(ctx, 100*time.Millisecond) {
+			break
+		}
+		progress()
+	}
+	<-ctx.Done()
+	if s.calls == 0 {
+		s.ended()
+	}
+	s.calls++
+	return nil, 0, ctx.Err()
+}
