Let daemons fetch what changed of a configuration, apart from the streams

Callers saw requests handled by an old version 3 s after a new one was acknowledged (CONFIG), and requests at a server 3.1 s after it had said that it leaves (DRAIN). Cause: each reader of a region sent the whole configuration to each of its 40 followers on the same stream as registrations and status.

Now a status names the revision of the sender's configuration, and a daemon with an older one fetches what has changed, at most once, from whichever daemon has it and has room: a sender uses half of its link and refuses at once what would have to wait. The state counts as older than the store until the configuration is there, and a reader begins before the missing revision. Frames and transfers end by lack of progress. The path of the stream has a new number: daemons of the version before are not understood (a mixed fleet was not run).

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -58,6 +58,8 @@
 	// confirmed, and go elsewhere.
 	peerIdleTimeout = 30 * time.Second
 	peerPingAfter   = 20 * time.Second
+	// bytesPerSecondOfMbps is 1 Mbit/s in bytes a second.
+	bytesPerSecondOfMbps = 1e6 / 8
 	// maxCapacityWait bounds how long a request waits while all backend servers refuse it.
 	maxCapacityWait = 2 * time.Second
 )
@@ -144,7 +146,8 @@
 	}
 	d.feed = feed.New(feed.Options{
 		Self: s.VM, DataCentre: s.DataCentre, Store: o.Store(s.Registry.URL), Transport: forward.NewPeerTransport(forward.PeerOptions{}),
-		Peers: func() []feed.Peer { return *d.feedPeers.Load() }, Apply: d.applyUpdate, State: d.registryState, RemovalHold: d.removalHold, Log: log.Part("registry"),
+		Peers: func() []feed.Peer { return *d.feedPeers.Load() }, Apply: d.applyUpdate, State: d.registryState, RemovalHold: d.removalHold,
+		LinkBytesPerSecond: s.Limits.LinkMbps * bytesPerSecondOfMbps, Log: log.Part("registry"),
 	})
 	d.buildOptions = registry.BuildOptions{
 		Regions: map[string]string{}, PeerPort: peerPort, FloorPercent: int(100 * s.Registry.FloorShare),
@@ -266,6 +269,7 @@
 func (d *RegistryDaemon) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(feed.Path, d.feed.Handler())
+	mux.Handle(feed.ConfigurationPath, d.feed.Handler())
 	return mux
 }
 
--- a/internal/daemon/registrymetrics.go
+++ b/internal/daemon/registrymetrics.go
@@ -28,6 +28,9 @@
 	stats := d.feed.Stats()
 	metrics.WriteCounterUint64(w, "cowslip_registry_sent_bytes_total", stats.SentBytes)
 	metrics.WriteCounterUint64(w, "cowslip_registry_full_states_total", stats.FullStates)
+	metrics.WriteCounterUint64(w, "cowslip_registry_configuration_bytes_total", stats.ConfigurationBytes)
+	metrics.WriteCounterUint64(w, "cowslip_registry_refused_transfers_total", stats.RefusedTransfers)
+	metrics.WriteCounterUint64(w, "cowslip_registry_failed_transfers_total", stats.FailedTransfers)
 	metrics.WriteCounterUint64(w, "cowslip_registry_broken_streams_total", stats.BrokenStreams)
 }
 
--- a/internal/feed/doc.go
+++ b/internal/feed/doc.go
@@ -7,6 +7,9 @@
 // follow relays of their data centre, so that the followers of one daemon stay few. Each status says
 // how old the state is, whatever the number of daemons it has passed.
 //
+// The configuration can be large, so streams only name its revision. A daemon with an older one
+// fetches what has changed, from whichever daemon has it and has room on its link.
+//
 // While no reader reaches the store, more daemons try, in order and not all at once. A daemon that
 // other daemons follow as a reader reads as well.
 //
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/compress"
@@ -14,7 +15,7 @@
 
 // Path is the path of the stream at the peer listener. The query may hold afterParam and
 // readerParam.
-const Path = "/cowslip.feed/2"
+const Path = "/cowslip.feed/3"
 
 const (
 	// afterParam is the revision up to which the follower has the full state. Without it, the
@@ -31,8 +32,9 @@
 	// streamTimeout is the time without a frame after which a stream counts as broken. It allows
 	// for two heartbeats and the delay of a lost packet.
 	streamTimeout = 1200 * time.Millisecond
-	// frameTimeout bounds the transfer of one frame once it has begun.
-	frameTimeout = 5 * time.Second
+	// frameTimeout bounds the transfer of one message that makes progress, so that one without end
+	// holds nobody.
+	frameTimeout = 10 * time.Second
 )
 
 const (
@@ -51,8 +53,9 @@
 
 // frame is one message of a stream. On the wire it is JSON with a header.
 type frame struct {
-	// Full means that Changes holds the sender's full state, as of Revision or later. Complete means
-	// that this state has been as new as the store at some time since the sender's start.
+	// Full means that Changes holds the sender's full state but for the configuration, as of Revision
+	// or later. Complete means that this state has been as new as the store at some time since the
+	// sender's start.
 	Full     bool              `json:"full,omitempty"`
 	Complete bool              `json:"complete,omitempty"`
 	Revision uint64            `json:"revision,omitempty"`
@@ -66,22 +69,33 @@
 
 // status says how complete and how new the sender's state is.
 type status struct {
-	// Revision is the store revision up to which the sender's state is complete.
+	// Revision is the store revision up to which the sender has all registrations.
 	Revision uint64 `json:"revision"`
+	// Configuration is the revision of the sender's configuration, 0 if it has none. It is the latest
+	// one up to the revision ConfiguredUpTo.
+	Configuration  uint64 `json:"configuration,omitempty"`
+	ConfiguredUpTo uint64 `json:"configuredUpTo,omitempty"`
 	// Reading means that the sender reads the store and its latest call succeeded.
 	Reading bool `json:"reading,omitempty"`
 	// Complete means that the sender's state has been complete and as new as the store at some time
 	// since its start. AgeMs is the time since then in milliseconds.
 	Complete bool  `json:"complete,omitempty"`
 	AgeMs    int64 `json:"ageMs,omitempty"`
+	// StoreAgeMs is the time in milliseconds since a reader was known to reach the store. It is less
+	// than AgeMs while a change is on its way.
+	StoreAgeMs int64 `json:"storeAgeMs,omitempty"`
 }
 
-// age returns AgeMs as a duration.
-func (s *status) age() time.Duration { return time.Duration(s.AgeMs) * time.Millisecond }
+// age returns AgeMs as a duration, storeAge StoreAgeMs.
+func (s *status) age() time.Duration      { return time.Duration(s.AgeMs) * time.Millisecond }
+func (s *status) storeAge() time.Duration { return time.Duration(s.StoreAgeMs) * time.Millisecond }
 
 // encode returns a frame as it is sent.
-func (f *frame) encode() ([]byte, error) {
-	body, err := json.Marshal(f)
+func (f *frame) encode() ([]byte, error) { return encodeMessage(f) }
+
+// encodeMessage returns a message as it is sent: JSON with a header.
+func encodeMessage(message any) ([]byte, error) {
+	body, err := json.Marshal(message)
 	if err != nil {
 		return nil, err
 	}
@@ -94,33 +108,57 @@
 	return append(header, body...), nil
 }
 
+// frameReader reads the messages of another daemon.
+type frameReader struct {
+	source io.Reader
+	// progress is called for each part that arrives.
+	progress func()
+	// received counts the bytes of the message that is being read.
+	received atomic.Int64
+}
+
+func (r *frameReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	if n > 0 {
+		r.received.Add(int64(n))
+		r.progress()
+	}
+	return n, err
+}
+
 // readFrame reads one frame. It calls begun once the header has arrived.
 func readFrame(r io.Reader, begun func()) (frame, error) {
 	var f frame
+	err := readMessage(r, begun, &f)
+	return f, err
+}
+
+// readMessage reads what encodeMessage returned. It calls begun once the header has arrived.
+func readMessage(r io.Reader, begun func(), message any) error {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return f, err
+		return err
 	}
 	begun()
 	length := int64(binary.BigEndian.Uint32(header[1:]))
 	if length > maxFrameBytes {
-		return f, errFrameTooLong
+		return errFrameTooLong
 	}
 	// The buffer grows with what arrives, so that a length alone takes no memory.
 	var body bytes.Buffer
 	if _, err := io.CopyN(&body, r, length); err != nil {
-		return f, err
+		return err
 	}
 	content := body.Bytes()
 	if header[0] == 1 {
 		unpacked, err := compress.Unpack(content, maxFrameBytes)
 		if errors.Is(err, compress.ErrTooLarge) {
-			return f, errFrameTooLong
+			return errFrameTooLong
 		}
 		if err != nil {
-			return f, err
+			return err
 		}
 		content = unpacked
 	}
-	return f, json.Unmarshal(content, &f)
+	return json.Unmarshal(content, message)
 }
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -25,7 +25,7 @@
 // hub sends the changes that this daemon receives to its followers. Each frame is encoded once for
 // all of them. It is safe for concurrent use.
 type hub struct {
-	// fullState returns the full state.
+	// fullState returns the full state but for the configuration.
 	fullState func() []registry.Change
 	// currentStatus returns the present status. It also holds for a state that is read after the
 	// call.
@@ -130,6 +130,13 @@
 	h.wakeFollowers()
 }
 
+// wake makes all followers get a new status.
+func (h *hub) wake() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.wakeFollowers()
+}
+
 // dropOldest forgets the oldest packet. The caller holds mu.
 func (h *hub) dropOldest() {
 	oldest := h.recent[0]
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -51,7 +51,10 @@
 	State func() []registry.Change
 	// RemovalHold returns the remaining time for which removals are held. Calls may be concurrent.
 	RemovalHold func() time.Duration
-	Log         *telemetry.Logger
+	// LinkBytesPerSecond is the bandwidth of the VM's link, 0 if it is not known. Configurations for
+	// other daemons take at most transferShare of it.
+	LinkBytesPerSecond float64
+	Log                *telemetry.Logger
 }
 
 // Source keeps the state of a daemon up to date, from the store or from other daemons, and serves
@@ -61,17 +64,23 @@
 	hub     *hub
 	start   time.Time
 
-	// completeRevision is the store revision up to which the daemon's state is complete.
-	completeRevision atomic.Uint64
+	// completeRevision is the store revision up to which the daemon has all registrations, and
+	// configuredRevision that up to which its configuration is the latest one.
+	completeRevision, configuredRevision atomic.Uint64
+	configurations                       configurations
+	// announced is the highest revision of a configuration that another daemon has. fetchDue wakes the
+	// goroutine that fetches it.
+	announced atomic.Uint64
+	fetchDue  chan struct{}
 	// fresh is set once the full state has come from a stream or from a read of this daemon. It
 	// stays set.
 	fresh atomic.Bool
-	// confirmed is the last time at which the state was known to be as new as the store, and
-	// usualReader the last time at which one of the region's usual readers was known to reach it.
-	// Both are in nanoseconds since start.
-	confirmed, usualReader atomic.Int64
-	// brokenStreams counts the streams that broke.
-	brokenStreams atomic.Uint64
+	// confirmed is the last time at which the state was known to be as new as the store, reached the
+	// last time at which a reader was known to reach the store, and usualReader that for the region's
+	// usual readers. They are in nanoseconds since start.
+	confirmed, reached, usualReader atomic.Int64
+	// brokenStreams counts the streams that broke, failedTransfers the transfers of a configuration.
+	brokenStreams, failedTransfers atomic.Uint64
 	// nextPeek is the time of the next look for peers, and peekInterval the time from that to the
 	// one after it. Only the goroutine of Run uses them.
 	nextPeek     time.Time
@@ -87,6 +96,16 @@
 	lastFollow time.Time
 	// avoidUntil maps the ids of VMs that are not followed for now to the end of that time.
 	avoidUntil map[string]time.Time
+	// fetchAfter maps the ids of VMs that failed to send the configuration to the time until which
+	// others are asked first.
+	fetchAfter map[string]time.Time
+}
+
+// receivedStatus is a status of another daemon and the time of its arrival, in nanoseconds since the
+// start of the Source.
+type receivedStatus struct {
+	status
+	at int64
 }
 
 // readerRun is one run of a registry.Reader.
@@ -99,10 +118,15 @@
 
 // New returns a Source. Nothing is read or followed before Run.
 func New(options Options) *Source {
-	s := &Source{options: options, start: time.Now(), peekInterval: minPeekInterval, streams: map[string]*stream{}, avoidUntil: map[string]time.Time{}}
+	s := &Source{
+		options: options, start: time.Now(), peekInterval: minPeekInterval, fetchDue: make(chan struct{}, 1),
+		streams: map[string]*stream{}, avoidUntil: map[string]time.Time{}, fetchAfter: map[string]time.Time{},
+	}
+	s.configurations.pacer.bytesPerSecond = transferShare * options.LinkBytesPerSecond
 	s.awaitReaders()
 	s.hub = newHub()
-	s.hub.fullState, s.hub.currentStatus, s.hub.removalHold, s.hub.report = options.State, s.status, options.RemovalHold, s.reportEncoding
+	s.hub.fullState = func() []registry.Change { return withoutConfiguration(options.State()) }
+	s.hub.currentStatus, s.hub.removalHold, s.hub.report = s.status, options.RemovalHold, s.reportEncoding
 	return s
 }
 
@@ -110,25 +134,50 @@
 func (s *Source) awaitReaders() {
 	begin := int64(time.Since(s.start) + firstStateTimeout - streamTimeout)
 	s.confirmed.Store(begin)
+	s.reached.Store(begin)
 	s.usualReader.Store(begin)
 }
 
-// Handler returns the handler that serves the stream to followers.
-func (s *Source) Handler() http.Handler { return s.hub }
+// Handler returns the handler that serves other daemons: the stream to followers at Path, and the
+// configuration at ConfigurationPath.
+func (s *Source) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(Path, s.hub)
+	mux.HandleFunc(ConfigurationPath, func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-s.hub.closed:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		default:
+			s.configurations.ServeHTTP(w, r)
+		}
+	})
+	return mux
+}
 
 // Fresh reports whether the full state has come from a stream or from a read of this daemon, so
 // that the daemon may serve. Any goroutine may call it.
 func (s *Source) Fresh() bool { return s.fresh.Load() }
 
-// Age returns the time since the state was known to be as new as the store. Any goroutine may call
-// it.
+// Age returns the time since the state was known to be as new as the store. It is more than 0 while a
+// change is on its way to this daemon. Any goroutine may call it.
 func (s *Source) Age() time.Duration {
-	if s.storeAvailable() {
+	s.mu.Lock()
+	current := s.readerCurrent()
+	s.mu.Unlock()
+	if current {
 		return 0
 	}
 	return max(time.Since(s.start)-time.Duration(s.confirmed.Load()), 0)
 }
 
+// storeAge returns the time since a reader was known to reach the store.
+func (s *Source) storeAge() time.Duration {
+	if s.storeAvailable() {
+		return 0
+	}
+	return max(time.Since(s.start)-time.Duration(s.reached.Load()), 0)
+}
+
 // Followers returns the number of daemons that follow this one. Any goroutine may call it.
 func (s *Source) Followers() int {
 	all, _ := s.hub.count()
@@ -139,13 +188,21 @@
 type Stats struct {
 	// SentBytes are the bytes sent to followers, FullStates the full states among them.
 	SentBytes, FullStates uint64
-	// BrokenStreams are the streams from other daemons that broke.
-	BrokenStreams uint64
+	// ConfigurationBytes are the bytes of configurations sent to other daemons. RefusedTransfers are
+	// the requests for one that came while there was too much to send.
+	ConfigurationBytes, RefusedTransfers uint64
+	// BrokenStreams are the streams from other daemons that broke, FailedTransfers the transfers of a
+	// configuration from them.
+	BrokenStreams, FailedTransfers uint64
 }
 
 // Stats returns the counts. Any goroutine may call it.
 func (s *Source) Stats() Stats {
-	return Stats{SentBytes: s.hub.sentBytes.Load(), FullStates: s.hub.fullStates.Load(), BrokenStreams: s.brokenStreams.Load()}
+	return Stats{
+		SentBytes: s.hub.sentBytes.Load(), FullStates: s.hub.fullStates.Load(),
+		ConfigurationBytes: s.configurations.sentBytes.Load(), RefusedTransfers: s.configurations.refused.Load(),
+		BrokenStreams: s.brokenStreams.Load(), FailedTransfers: s.failedTransfers.Load(),
+	}
 }
 
 // Reading reports whether this daemon reads the store. Any goroutine may call it.
@@ -166,7 +223,13 @@
 // status returns the present status. What it says also holds for a state that is read after the
 // call.
 func (s *Source) status() status {
-	return status{Revision: s.completeRevision.Load(), Reading: s.storeAvailable(), Complete: s.fresh.Load(), AgeMs: s.Age().Milliseconds()}
+	out := status{
+		Revision: s.completeRevision.Load(), ConfiguredUpTo: s.configuredRevision.Load(),
+		Reading: s.storeAvailable(), Complete: s.fresh.Load(), AgeMs: s.Age().Milliseconds(), StoreAgeMs: s.storeAge().Milliseconds(),
+	}
+	// A configuration is added before configuredRevision rises, so it is read after it.
+	out.Configuration = s.configurations.revision.Load()
+	return out
 }
 
 // storeAvailable reports whether this daemon reads the store and its latest call succeeded.
@@ -179,8 +242,16 @@
 // readerAvailable is storeAvailable for callers that hold mu.
 func (s *Source) readerAvailable() bool { return s.reader != nil && s.reader.reader.StoreAvailable() }
 
+// readerCurrent reports whether this daemon reads the store and knows of nothing newer that is on
+// its way. The caller holds mu.
+func (s *Source) readerCurrent() bool {
+	return s.readerAvailable() && !s.reader.reader.Receiving() && !s.behind()
+}
+
 // Run keeps the state up to date until ctx ends. It returns once all readers have stopped.
 func (s *Source) Run(ctx context.Context) {
+	var fetches sync.WaitGroup
+	fetches.Go(func() { s.fetchConfigurations(ctx) })
 	for {
 		s.lookForPeers(ctx)
 		s.reconcile(ctx, time.Now())
@@ -188,7 +259,8 @@
 			break
 		}
 	}
-	// The readers end with ctx.
+	// All of them end with ctx.
+	fetches.Wait()
 	s.readers.Wait()
 }
 
@@ -219,6 +291,9 @@
 	defer s.mu.Unlock()
 	elapsed := now.Sub(s.start)
 	if s.readerAvailable() {
+		s.reached.Store(int64(elapsed))
+	}
+	if s.readerCurrent() {
 		s.confirmed.Store(int64(elapsed))
 	}
 	v := s.view(now)
@@ -259,7 +334,7 @@
 	if len(s.avoidUntil) > 0 {
 		v.peers = slices.DeleteFunc(slices.Clone(v.peers), func(p Peer) bool { return !s.avoidUntil[p.VM].IsZero() })
 	}
-	v.lost = elapsed - time.Duration(s.confirmed.Load())
+	v.lost = elapsed - time.Duration(s.reached.Load())
 	hearsReaders := containsVM(v.peers[:min(readersPerRegion, len(v.peers))], s.options.Self)
 	for _, st := range s.streams {
 		last := st.lastFrame.Load()
@@ -314,26 +389,61 @@
 func (s *Source) handleFrame(st *stream, f frame) {
 	elapsed := int64(time.Since(s.start))
 	st.lastFrame.Store(elapsed)
-	u := registry.Update{Changes: f.Changes, Revision: f.Revision, Full: f.Full, RemovalHold: time.Duration(f.RemovalHoldMs) * time.Millisecond}
 	st.complete = st.complete || f.Full && f.Complete
-	if f.Status != nil && st.complete {
-		u.Revision = f.Status.Revision
-		u.Fresh = f.Status.Complete && f.Status.age() < streamTimeout
+	if f.Full || len(f.Changes) > 0 || f.RemovalHoldMs > 0 {
+		s.apply(registry.Update{Changes: f.Changes, Revision: f.Revision, Full: f.Full, RemovalHold: time.Duration(f.RemovalHoldMs) * time.Millisecond})
 	}
-	s.apply(u)
 	if f.Status == nil {
 		return
 	}
-	if f.Status.Complete && st.complete {
-		raise(&s.confirmed, elapsed-int64(f.Status.age()))
+	s.noteAnnouncement(st, f.Status.Configuration)
+	if st.complete {
+		r := &receivedStatus{*f.Status, elapsed}
+		st.status.Store(r)
+		s.handleStatus(r)
 	}
 	if f.Status.Reading && st.usual.Load() {
 		raise(&s.usualReader, elapsed)
 	}
 }
 
+// noteAnnouncement notes the configuration that another daemon has, and has it fetched if it is
+// newer than that of this daemon.
+func (s *Source) noteAnnouncement(st *stream, revision uint64) {
+	st.configuration.Store(revision)
+	raise(&s.announced, revision)
+	if !s.behind() {
+		return
+	}
+	select {
+	case s.fetchDue <- struct{}{}:
+	default: // the goroutine is about to look
+	}
+}
+
+// handleStatus takes what a daemon says whose registrations this one has. It does not count as fresh
+// before this one has the daemon's configuration too.
+func (s *Source) handleStatus(r *receivedStatus) {
+	configured := s.configurations.revision.Load() >= r.Configuration
+	age := r.age() + time.Since(s.start) - time.Duration(r.at)
+	s.apply(registry.Update{Revision: r.Revision, Fresh: configured && r.Complete && age < streamTimeout})
+	if configured {
+		raise(&s.configuredRevision, r.ConfiguredUpTo)
+	}
+	if !r.Complete {
+		return
+	}
+	raise(&s.reached, r.at-int64(r.storeAge()))
+	if configured && !s.behind() {
+		raise(&s.confirmed, r.at-int64(r.age()))
+	}
+}
+
 // raise sets v to at least value.
-func raise(v *atomic.Int64, value int64) {
+func raise[T int64 | uint64](v interface {
+	Load() T
+	CompareAndSwap(before, after T) bool
+}, value T) {
 	for {
 		current := v.Load()
 		if value <= current || v.CompareAndSwap(current, value) {
@@ -342,28 +452,57 @@
 	}
 }
 
+// withoutConfiguration returns the changes but for the configuration, which other daemons fetch. A
+// large one would hold up the registrations.
+func withoutConfiguration(changes []registry.Change) []registry.Change {
+	isConfiguration := func(c registry.Change) bool { return c.Configuration != nil }
+	if !slices.ContainsFunc(changes, isConfiguration) {
+		return changes
+	}
+	return slices.DeleteFunc(slices.Clone(changes), isConfiguration)
+}
+
+// applyFromStore applies an update that this daemon has read, which has all changes up to its
+// revision.
+func (s *Source) applyFromStore(u registry.Update) {
+	s.apply(u)
+	raise(&s.configuredRevision, u.Revision)
+}
+
 // apply applies an update and passes on what was new. completeRevision rises only after the changes
 // are applied and queued for the followers. A heartbeat with the new revision before that could
 // make a follower continue from it without the changes. A full list of the store goes to all
 // followers even if it changed nothing here: it may end what only they still have.
 func (s *Source) apply(u registry.Update) {
 	isNew := s.options.Apply(u)
+	newConfiguration := s.addConfigurations(u.Changes)
+	u.Changes = withoutConfiguration(u.Changes)
 	becomesFresh := u.Fresh && !s.fresh.Load()
 	switch {
 	case becomesFresh, u.Full && (isNew || u.Fresh):
 		s.hub.sendFull(u)
 	case isNew && len(u.Changes) > 0:
 		s.hub.send(u.Changes)
+	case newConfiguration:
+		s.hub.wake()
 	}
 	if u.Fresh {
 		s.fresh.Store(true)
 	}
-	for {
-		current := s.completeRevision.Load()
-		if u.Revision <= current || s.completeRevision.CompareAndSwap(current, u.Revision) {
-			break
+	raise(&s.completeRevision, u.Revision)
+}
+
+// addConfigurations keeps the configurations among applied changes for other daemons, and reports
+// whether there was a newer one.
+func (s *Source) addConfigurations(changes []registry.Change) bool {
+	before := s.configurations.revision.Load()
+	followers, _ := s.hub.count()
+	for i := range changes {
+		if changes[i].Configuration != nil {
+			s.configurations.add(changes[i], followers > 0)
 		}
 	}
+	return s.configurations.revision.Load() > before
 }
 
 // setReading starts or stops reading the store. The caller holds mu.
@@ -373,9 +512,9 @@
 		readCtx, cancel := context.WithCancel(ctx)
 		after := uint64(0)
 		if s.fresh.Load() {
-			after = s.completeRevision.Load()
+			after = min(s.completeRevision.Load(), s.configuredRevision.Load())
 		}
-		run := &readerRun{reader: registry.NewReader(s.options.Store, s.options.Log, after, s.apply), cancel: cancel, lastNeeded: now}
+		run := &readerRun{reader: registry.NewReader(s.options.Store, s.options.Log, after, s.applyFromStore), cancel: cancel, lastNeeded: now}
 		s.reader = run
 		all, dependants := s.hub.count()
 		s.options.Log.Info("This daemon starts to read the store.", "after", after, "followers", all, "dependants", dependants)
--- /dev/null
+++ b/internal/registry/delta_test.go
@@ -0,0 +1,76 @@
+package registry
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	_ "github.com/cowsliprun/cowsliprun/internal/rapidseed"
+)
+
+func drawConfiguration(t *rapid.T, label string) *Configuration {
+	c := &Configuration{Version: rapid.Uint64Range(1, 99).Draw(t, label), MaxBodyBytes: rapid.Int64Range(0, 2).Draw(t, "limit")}
+	for range rapid.IntRange(0, 12).Draw(t, "routes") {
+		name := fmt.Sprint("r", rapid.IntRange(0, 9).Draw(t, "name"))
+		c.Routes = append(c.Routes, Route{Name: name, Host: "h", PathPrefix: "/" + name + "/", Rank: rapid.IntRange(0, 1).Draw(t, "rank")})
+	}
+	return c
+}
+
+// Guards against a configuration that is another one after it has travelled as a delta, also with
+// routes that stand twice or change places.
+func TestDeltaRestoresConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		before, after := drawConfiguration(t, "before"), drawConfiguration(t, "after")
+		data, err := json.Marshal(DiffConfigurations(before, after))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var d ConfigurationDelta
+		if err := json.Unmarshal(data, &d); err != nil {
+			t.Fatal(err)
+		}
+		if got, err := d.Apply(before); err != nil || !reflect.DeepEqual(got, after) {
+			t.Fatalf("got %+v (%v), want %+v", got, err, after)
+		}
+	})
+}
+
+// Guards against a change of a route that no delta carries because the comparison leaves a field out.
+func TestDeltaComparesEachFieldOfRoute(t *testing.T) {
+	before := &Configuration{Routes: []Route{{Name: "r"}}}
+	fields := reflect.TypeFor[Route]()
+	for i := range fields.NumField() {
+		changed := Route{Name: "r"}
+		switch field := reflect.ValueOf(&changed).Elem().Field(i); field.Kind() {
+		case reflect.String:
+			field.SetString("changed")
+		case reflect.Int, reflect.Int64:
+			field.SetInt(7)
+		case reflect.Uint8:
+			field.SetUint(1)
+		case reflect.Slice:
+			changed.Parts = []catalog.WeightedService{{Service: "s", Weight: 1}}
+		default:
+			t.Fatalf("field %s has a kind that the test does not know", fields.Field(i).Name)
+		}
+		if d := DiffConfigurations(before, &Configuration{Routes: []Route{changed}}); d.AddedRoutes() != 1 {
+			t.Errorf("a change of field %s is not carried", fields.Field(i).Name)
+		}
+	}
+}
+
+// Guards against a malformed delta that ends the process, or makes a configuration of other routes.
+func TestDeltaThatDoesNotFitIsRefused(t *testing.T) {
+	before := &Configuration{Routes: make([]Route, 3)}
+	for _, span := range []RouteSpan{{From: 4}, {Count: 4}, {From: 2, Count: 2}, {From: -1, Count: 1}, {Count: -1}, {From: 1, Count: 1<<63 - 1}} {
+		d := &ConfigurationDelta{Spans: []RouteSpan{span}}
+		if got, err := d.Apply(before); err == nil {
+			t.Errorf("%+v: got %+v", span, got)
+		}
+	}
+}
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -84,8 +84,9 @@
 	// onUpdate receives each update. Only the goroutine of Run calls it.
 	onUpdate func(Update)
 	after    uint64
-	// storeAvailable is true while the latest call to the store succeeded.
-	storeAvailable atomic.Bool
+	// storeAvailable is true while the latest call to the store succeeded, receiving while changes
+	// arrive that are not yet passed on.
+	storeAvailable, receiving atomic.Bool
 }
 
 // NewReader returns a Reader that passes each update to onUpdate. It starts with the changes after
@@ -97,6 +98,10 @@
 // StoreAvailable reports whether the latest call to the store succeeded. Any goroutine may call it.
 func (r *Reader) StoreAvailable() bool { return r.storeAvailable.Load() }
 
+// Receiving reports whether changes are arriving that are not yet passed on. Any goroutine may call
+// it.
+func (r *Reader) Receiving() bool { return r.receiving.Load() }
+
 // Run reads until ctx ends: a full list first unless NewReader got a revision, then the changes.
 // After ErrHistoryGone it lists again; after other errors it retries with backoff.
 func (r *Reader) Run(ctx context.Context) {
@@ -154,11 +159,16 @@
 	if s.probe {
 		wait = 0
 	}
-	changes, revision, err := r.store.Watch(callCtx, s.revision, wait, func() { w.extend(stallTimeout) })
+	changes, revision, err := r.store.Watch(callCtx, s.revision, wait, func() {
+		r.receiving.Store(true)
+		w.extend(stallTimeout)
+	})
 	if err != nil {
+		r.receiving.Store(false)
 		return w.explain(err)
 	}
 	r.handleResponse(s, Update{Changes: changes, Revision: revision})
+	r.receiving.Store(false)
 	if len(changes) > 0 {
 		pause.For(ctx, batchDelay)
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -269,6 +269,7 @@
 	checkRange(c, "limits.maxHeaderBytes", l.MaxHeaderBytes, 4<<10, 1<<20)
 	checkRange(c, "limits.maxConnections", l.MaxConnections, 1, 1_000_000)
 	checkRange(c, "limits.descriptors", l.Descriptors, 0, 10_000_000)
+	checkRange(c, "limits.linkMbps", l.LinkMbps, 0, 1_000_000)
 	c.checkDuration("limits.headerTimeout", l.HeaderTimeout, 100*time.Millisecond, 5*time.Minute)
 	c.checkDuration("limits.bodyStallTimeout", l.BodyStallTimeout, 100*time.Millisecond, 5*time.Minute)
 	c.checkDuration("limits.writeStallTimeout", l.WriteStallTimeout, 100*time.Millisecond, 5*time.Minute)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -112,6 +112,9 @@
 	// Descriptors is the number of files and sockets that the process may have open. Default: 0,
 	// which means unknown. Range: 0 to 10000000.
 	Descriptors int `yaml:"descriptors"`
+	// LinkMbps is the bandwidth of the VM's link, in Mbit/s. Default: 0, which means unknown. Range: 0
+	// to 1000000.
+	LinkMbps float64 `yaml:"linkMbps"`
 	// HeaderTimeout bounds the time to read a request's header. Default: 5s. Range: 100ms to 5m.
 	HeaderTimeout contract.Duration `yaml:"headerTimeout"`
 	// BodyStallTimeout bounds the wait for the next bytes of a request's body.
