Test that a head that breaks off is no success

Other operators saw a 200 with an empty or short body after a backend server stopped in the middle of its answer's head. It cannot happen here: the home was sent a response cut off at each of its bytes, with a proper end of the connection and with a reset, and passed none on as complete. No code changes.

--- a/internal/home/hostile_test.go
+++ b/internal/home/hostile_test.go
@@ -243,3 +243,23 @@
 	}
 	return nil
 }
+
+// Guards against a success for a response whose head breaks off, at each byte of it, with a proper
+// end of the connection and with a reset.
+func TestHeadThatBreaksOffIsNoSuccess(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nX-Signature: 3e1b\r\nContent-Length: 12\r\n\r\nhello, world"
+	for end := range len(response) {
+		for _, reset := range []bool{false, true} {
+			server := startHostileServer(t, func(w io.Writer) error {
+				_, err := io.WriteString(w, response[:end])
+				if reset {
+					err = errors.Join(err, w.(*net.TCPConn).SetLinger(0))
+				}
+				return errors.Join(err, io.ErrUnexpectedEOF)
+			})
+			if _, w, _ := serveHostile(t, server); w.complete() {
+				t.Errorf("after %q (reset %v): status %d with %d bytes was passed on as complete", response[:end], reset, w.status, w.bytes)
+			}
+		}
+	}
+}
