Do not believe a refusal that may be the copy of an earlier one

Other operators saw clients told "not run, try again" for requests that a backend server ran, because it wrote an earlier refusal once more on a kept connection.

Now a request is not sent again on a connection on which it was refused, and a refusal without an id counts only on a connection that had no request before it; elsewhere the outcome is unknown.

--- a/internal/forward/backendtransport.go
+++ b/internal/forward/backendtransport.go
@@ -22,6 +22,9 @@
 	// maxResponseHeadBytes bounds the head of a response, interim responses included. A faulty
 	// backend server may send one without end.
 	maxResponseHeadBytes = 64 << 10
+	// maxRefusedIDs bounds the refused requests that are remembered for a connection, which is closed
+	// after that many.
+	maxRefusedIDs = 16
 	// distrustTime is how long connections to a backend server are not reused after it has sent
 	// more than it was asked for.
 	distrustTime = time.Minute
@@ -54,11 +57,21 @@
 	return &BackendTransport{dial: (&net.Dialer{Timeout: dialTimeout}).DialContext, idle: map[string][]*backendConn{}, distrustedUntil: map[string]time.Time{}}
 }
 
+// exchangeIDKey is the key of the id that WithExchangeID sets.
+type exchangeIDKey struct{}
+
+// WithExchangeID returns a context for a request with an id, under which it may be sent again.
+func WithExchangeID(ctx context.Context, id string) context.Context {
+	return context.WithValue(ctx, exchangeIDKey{}, id)
+}
+
 // RoundTrip implements http.RoundTripper. The connection is reused only after the response body was
 // read to its end and closed. Otherwise Close of the body closes the connection.
 func (t *BackendTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	address := req.URL.Host
-	c := t.takeIdle(address)
+	id, _ := req.Context().Value(exchangeIDKey{}).(string)
+	c := t.takeIdle(address, id)
+	reused := c != nil
 	if c == nil {
 		c = t.newConn()
 	}
@@ -68,7 +81,7 @@
 		return nil, err
 	}
 	hasBody := req.Method != http.MethodHead && resp.ContentLength != 0
-	resp.Body = &backendBody{ReadCloser: resp.Body, readToEnd: !hasBody, release: func(reuse bool) {
+	resp.Body = &backendBody{ReadCloser: resp.Body, readToEnd: !hasBody, conn: c, id: id, reused: reused, release: func(reuse bool) {
 		if !reuse || !t.putIdle(address, c) {
 			c.close()
 		}
@@ -98,9 +111,9 @@
 	return list
 }
 
-// takeIdle removes and returns a reusable connection to the address, or nil. It drops the unusable
-// connections that it finds; net/http closes those by itself.
-func (t *BackendTransport) takeIdle(address string) *backendConn {
+// takeIdle removes and returns a connection to the address that may be reused for the request with
+// the id, or nil. It drops the unusable connections that it finds; net/http closes those by itself.
+func (t *BackendTransport) takeIdle(address, id string) *backendConn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	list := t.idle[address]
@@ -109,7 +122,7 @@
 	kept := list[:0]
 	for _, c := range list {
 		state := connUnsettled
-		if taken == nil {
+		if taken == nil && !slices.Contains(c.refusedIDs, id) {
 			state = c.state()
 		}
 		switch state {
@@ -175,6 +188,9 @@
 type backendConn struct {
 	transport *http.Transport
 	conn      atomic.Pointer[watchedConn]
+	// refusedIDs are the ids of the requests that were refused on the connection. Whoever uses or
+	// holds the connection owns them.
+	refusedIDs []string
 }
 
 func (t *BackendTransport) newConn() *backendConn {
@@ -303,6 +319,10 @@
 	// last is true if the connection must not be used for another request.
 	last    bool
 	release func(reuse bool)
+	// conn is the connection, id that of the request. reused is set if there were requests before.
+	conn   *backendConn
+	id     string
+	reused bool
 }
 
 // CloseAfter makes the response of a BackendTransport the last one on its connection. It must be
@@ -313,6 +333,23 @@
 	}
 }
 
+// NoteRefusal records that a response of a BackendTransport refuses its request. The request is not
+// sent again on the same connection: a late copy of the refusal could not be told from the response
+// to it. It must be called before the body is closed.
+func NoteRefusal(resp *http.Response) {
+	if b, ok := resp.Body.(*backendBody); ok {
+		b.conn.refusedIDs = append(b.conn.refusedIDs, b.id)
+		b.last = b.last || len(b.conn.refusedIDs) >= maxRefusedIDs
+	}
+}
+
+// Reused reports whether there were other requests on the connection of a response of a
+// BackendTransport before.
+func Reused(resp *http.Response) bool {
+	b, ok := resp.Body.(*backendBody)
+	return ok && b.reused
+}
+
 func (b *backendBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -108,7 +108,8 @@
 // x.response is set, and the caller closes its body.
 func (x *exchange) send(ctx context.Context, r *http.Request) error {
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { x.gotConnection.Store(true) }}
-	out := x.backendRequest(httptrace.WithClientTrace(ctx, trace), r)
+	ctxWithID := forward.WithExchangeID(ctx, r.Header.Get(forward.HeaderRequestID))
+	out := x.backendRequest(httptrace.WithClientTrace(ctxWithID, trace), r)
 	x.startedAt.Store(sinceProcessStart())
 	if r.ContentLength == 0 {
 		x.uploadedAt.Store(x.startedAt.Load())
@@ -119,11 +120,7 @@
 		return x.classify(ctx, err)
 	}
 	x.response = resp
-	if !x.dialect.NamesRequest(resp, r.Header.Get(forward.HeaderRequestID)) {
-		// A late copy of this response could not be told from the response to the next request.
-		forward.CloseAfter(resp)
-	}
-	if err := x.dialect.CheckResponse(resp, r.Header.Get(forward.HeaderRequestID)); err != nil {
+	if err := x.checkResponse(resp, r.Header.Get(forward.HeaderRequestID)); err != nil {
 		resp.Body.Close() // without reading the body, which may have no end
 		if t, ok := x.transport.(distruster); ok && err.Kind == errkind.AnswerInvalid {
 			t.Distrust(x.address)
@@ -137,6 +134,25 @@
 	return x.bufferSmallBody(ctx)
 }
 
+// checkResponse returns nil if the response is the backend server's own one to the request with the
+// id. A refusal is believed only if it cannot be the copy of an earlier one.
+func (x *exchange) checkResponse(resp *http.Response, id string) *errkind.Error {
+	named := x.dialect.NamesRequest(resp, id)
+	if !named {
+		// A late copy of this response could not be told from the response to the next request.
+		forward.CloseAfter(resp)
+	}
+	err := x.dialect.CheckResponse(resp, id)
+	if err == nil || err.Kind.Answer().Outcome != errkind.NotRun {
+		return err
+	}
+	if !named && forward.Reused(resp) {
+		return errkind.New(errkind.AnswerInvalid, "a refusal does not name its request, and may belong to an earlier one on the connection")
+	}
+	forward.NoteRefusal(resp)
+	return err
+}
+
 // backendRequest returns the request for the backend server. The daemons' own headers are dropped;
 // the dialect adds those that its backend servers get, such as deadline, request id and customer.
 func (x *exchange) backendRequest(ctx context.Context, r *http.Request) *http.Request {
--- a/internal/home/hostile_test.go
+++ b/internal/home/hostile_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -263,3 +264,96 @@
 		}
 	}
 }
+
+// startRefusingServer starts a backend server that refuses the first request on a connection and
+// answers each further one with another copy of that refusal, although it runs it. It returns the
+// address and the number of requests that ran.
+func startRefusingServer(t *testing.T, refusal func(id string, copies int) string) (address string, ran *atomic.Int32) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	ran = &atomic.Int32{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				reader := bufio.NewReader(conn)
+				first := ""
+				for n := 0; ; n++ {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if n == 0 {
+						first = r.Header.Get(forward.HeaderRequestID)
+					} else {
+						ran.Add(1)
+					}
+					io.WriteString(conn, refusal(first, n)) //nolint:errcheck // the home sees a broken connection
+				}
+			}()
+		}
+	}()
+	return listener.Addr().String(), ran
+}
+
+// naming is a dialect with refusals that name their request, if they are well formed.
+type naming struct{ refusing }
+
+func (naming) CheckResponse(resp *http.Response, id string) *errkind.Error {
+	if err := (dialect.Cowslip{}).CheckResponse(resp, id); err != nil {
+		return err
+	}
+	return refusing{}.CheckResponse(resp, id)
+}
+
+func (naming) NamesRequest(resp *http.Response, id string) bool {
+	return resp.Header.Get(forward.HeaderRequestID) == id
+}
+
+// Guards against "not run" for a request that runs: the copy of an earlier refusal arrives as its
+// answer, also if the refused request comes again under the same id.
+func TestCopyOfEarlierRefusalIsNotBelieved(t *testing.T) {
+	const head = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n"
+	named := func(id string, _ int) string { return head + forward.HeaderRequestID + ": " + id + "\r\n\r\n" }
+	for name, c := range map[string]struct {
+		refusal func(id string, copies int) string
+		ids     []string
+	}{
+		"another request":        {named, []string{"a", "b", "c"}},
+		"the same request again": {named, []string{"a", "a", "b", "a"}},
+		"refusals without an id": {func(string, int) string { return head + "\r\n" }, []string{"a", "b", "a"}},
+		"copies without an id": {func(id string, copies int) string {
+			if copies > 0 {
+				return head + "\r\n"
+			}
+			return named(id, 0)
+		}, []string{"a", "b", "c"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, ran := startRefusingServer(t, c.refusal)
+			transport := forward.NewBackendTransport()
+			for _, id := range c.ids {
+				x := &exchange{transport: transport, dialect: naming{}, backend: "b1", address: address}
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://stock/1", http.NoBody)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.Header.Set(forward.HeaderRequestID, id)
+				time.Sleep(20 * time.Millisecond) // the connection before becomes reusable
+				before := ran.Load()
+				err = x.send(t.Context(), r)
+				if outcome := errkind.Of(err).Answer().Outcome; outcome == errkind.NotRun && ran.Load() > before {
+					t.Errorf("request %s ran, but ends with %v", id, err)
+				}
+			}
+		})
+	}
+}
