--- a/internal/settings/usable_test.go
+++ b/internal/settings/usable_test.go
@@ -57,6 +57,8 @@
 		{"descriptors: 4100", "descriptors: 8192", 0, func(s Settings) bool { return s.Limits.MaxConnections == 3946 }},
 		{"descriptors: 4100", "descriptors: 8.5", 1, func(s Settings) bool { return s.Limits.MaxConnections == 4096 }},
 		{"descriptors: 4100", "descriptors: 1", 0, func(s Settings) bool { return s.Limits.MaxConnections == 1 }},
+		{"descriptors: 4100", "descriptors: 4100\n  linkMbps: 14.5", 0, func(s Settings) bool { return s.Limits.LinkMbps == 14.5 }},
+		{"descriptors: 4100", "descriptors: 4100\n  linkMbps: fast", 1, func(s Settings) bool { return s.Limits.LinkMbps == 0 }},
 		{`"buda-a", region: "buda"`, `"buda-a", region: ""`, 1, func(s Settings) bool { return len(s.DataCentres) == 1 && s.DataCentres[0].Region == "pest" }},
 		{`"172.16.0.0/12"`, `"172.16.0.1/12"`, 1, func(s Settings) bool { return len(s.PeerNetworks) == 1 && s.PeerNetworks[0] == "10.0.0.0/8" }},
 		{`service: "huvo11a"`, `service: "pöntun og greiðsla"`, 0, func(s Settings) bool { return s.Application.Service == "pöntun og greiðsla" }},
