Refuse for now what has no route while a newer configuration is on its way

A daemon that knows of a newer configuration, but does not have it yet, answered 404 to a request for a route that was added (CONFIG: refused though the route is there). That is acting on a belief it knows to be old. It now answers 503 with Retry-After, which another daemon or a moment later makes good. TestMissingRouteIsRefusedForNowWhileConfigurationIsOutdated shows both answers; before, both were 404.

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -166,7 +166,7 @@
 		VM: s.VM, Locality: catalog.Locality{DataCentre: s.DataCentre, Region: s.Region}, Snapshot: d.snapshot.Load, Incarnation: seed,
 		Leaving: d.leaving.Load, Transport: forward.NewPeerTransport(forward.PeerOptions{IdleTimeout: peerIdleTimeout, PingAfter: peerPingAfter}), Observer: requestMetrics{d.metrics}, Seed: seed,
 		Log: log.Part("entry"), Dialect: o.Dialect, OriginService: func() string { return *d.originService.Load() },
-		Retry: registryRetryOptions, Confirm: true, MaxWait: maxCapacityWait, Configured: d.configured,
+		Retry: registryRetryOptions, Confirm: true, MaxWait: maxCapacityWait, Configured: d.configured, Outdated: d.feed.Outdated,
 		Balance: balance.Options{RegionWide: true, ExcludeAvoided: true, LoadTTL: loadReportTTL, SubsetSize: preferredBackends},
 	})
 	d.guard = newPeerGuard(s, log.Part("peer"))
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -70,6 +70,9 @@
 	// Configured is closed once Snapshot returns a configuration. Requests that arrive shortly
 	// after New wait for it. Default: nil, and they are refused at once.
 	Configured <-chan struct{}
+	// Outdated reports whether a newer configuration than that of Snapshot is known to exist. Until it
+	// is there, a request without a route is refused for now, and not as unknown. Default: never.
+	Outdated func() bool
 }
 
 // Observer counts how requests end. Its methods are called concurrently and must not block.
@@ -140,6 +143,7 @@
 	confirm       bool
 	maxWait       time.Duration
 	startWaiter   *startWaiter
+	outdated      func() bool
 }
 
 // New returns an Entry with the given options.
@@ -153,6 +157,9 @@
 	if o.Leaving == nil {
 		o.Leaving = func() bool { return false }
 	}
+	if o.Outdated == nil {
+		o.Outdated = func() bool { return false }
+	}
 	if o.Limiter == nil {
 		o.Limiter = noopLimiter{}
 	}
@@ -170,7 +177,7 @@
 	}
 	o.Balance.VM, o.Balance.Locality, o.Balance.Random, o.Balance.Now = o.VM, o.Locality, rand.NewPCG(o.Seed, o.Seed), time.Now()
 	return &Entry{
-		dialect: o.Dialect, originService: o.OriginService, confirm: o.Confirm, maxWait: o.MaxWait, startWaiter: newStartWaiter(o.Configured),
+		dialect: o.Dialect, originService: o.OriginService, confirm: o.Confirm, maxWait: o.MaxWait, startWaiter: newStartWaiter(o.Configured), outdated: o.Outdated,
 		vm: o.VM, region: o.Locality.Region, snapshot: o.Snapshot, transport: o.Transport,
 		incarnation: o.Incarnation, memory: o.Memory, operationBodies: operation.NewUploadBudget(maxOperationBodiesBytes),
 		heldResponses: holdBudget{limit: maxHeldBytes},
@@ -308,13 +315,13 @@
 	if snapshot == nil {
 		return nil, errkind.New(errkind.NoConfiguration, "this daemon has no configuration yet")
 	}
-	customer, err := customerOf(snapshot, r)
+	customer, err := e.customerOf(snapshot, r)
 	if err != nil {
 		return nil, err
 	}
 	route := customer.RouteOf(hostOf(r), path)
 	if route == nil {
-		return nil, errkind.New(errkind.NoRoute, "the contract of "+customer.Name+" has no route for this path")
+		return nil, e.noRoute("the contract of " + customer.Name + " has no route for this path")
 	}
 	name := chooseService(route)
 	service := snapshot.Service(name)
@@ -326,12 +333,12 @@
 
 // customerOf finds the customer by API key, or by host name if the configuration identifies callers
 // so.
-func customerOf(snapshot *catalog.Snapshot, r *http.Request) (*catalog.Customer, error) {
+func (e *Entry) customerOf(snapshot *catalog.Snapshot, r *http.Request) (*catalog.Customer, error) {
 	if snapshot.IdentifiesByHost() {
 		if customer := snapshot.CustomerByHost(hostOf(r)); customer != nil {
 			return customer, nil
 		}
-		return nil, errkind.New(errkind.NoRoute, "no contract has the host name of the request")
+		return nil, e.noRoute("no contract has the host name of the request")
 	}
 	if customer := snapshot.CustomerByKey(catalog.DigestOf(apiKey(r))); customer != nil {
 		return customer, nil
@@ -339,6 +346,15 @@
 	return nil, errkind.New(errkind.Unauthenticated, "no contract has this API key; send it as Authorization: Bearer KEY")
 }
 
+// noRoute returns the error for a request without a route. While the configuration is outdated, the
+// route may exist.
+func (e *Entry) noRoute(detail string) *errkind.Error {
+	if e.outdated() {
+		return errkind.New(errkind.NoConfiguration, "a newer configuration is on its way; in the present one "+detail)
+	}
+	return errkind.New(errkind.NoRoute, detail)
+}
+
 // hostOf returns the host name of the request in lower case, without a port.
 func hostOf(r *http.Request) string {
 	host := r.Host
--- a/internal/entry/startwait_test.go
+++ b/internal/entry/startwait_test.go
@@ -12,6 +12,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/entry"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/registry"
 )
 
 // newStartingEntry returns an entry without a configuration, and a function that gives it one. The
@@ -85,3 +86,20 @@
 		}
 	})
 }
+
+// Guards against 404 for a route that was added, at a daemon that knows of a newer configuration but
+// does not have it yet.
+func TestMissingRouteIsRefusedForNowWhileConfigurationIsOutdated(t *testing.T) {
+	table := registry.NewTable()
+	routes := []registry.Route{{Host: "shop.example", PathPrefix: "/a/", Parts: []catalog.WeightedService{{Service: "stock", Weight: 1}}}}
+	table.Apply(time.Now(), []registry.Change{{Key: "config", Revision: 1, Configuration: &registry.Configuration{Version: 1, Routes: routes}}})
+	snapshot, outdated := registry.Build(table, registry.BuildOptions{}), true
+	e := entry.New(entry.Options{VM: "vm1", Snapshot: func() *catalog.Snapshot { return snapshot }, Outdated: func() bool { return outdated }})
+	if w := sendRequest(e, "GET", "http://shop.example/b/", ""); w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+		t.Errorf("outdated: status %d, Retry-After %q", w.Code, w.Header().Get("Retry-After"))
+	}
+	outdated = false
+	if w := sendRequest(e, "GET", "http://shop.example/b/", ""); w.Code != http.StatusNotFound {
+		t.Errorf("up to date: status %d", w.Code)
+	}
+}
--- a/internal/feed/configuration_test.go
+++ b/internal/feed/configuration_test.go
@@ -113,6 +113,9 @@
 		s.streams["other"] = st
 		s.handleFrame(st, frame{Full: true, Complete: true, Revision: 12})
 		s.handleFrame(st, frame{Status: &status{Revision: 12, Configuration: 9, ConfiguredUpTo: 12, Complete: true, Reading: true}})
+		if !s.Outdated() {
+			t.Error("without the configuration: not outdated")
+		}
 		if out := s.status(); s.Fresh() || out.AgeMs == 0 || out.ConfiguredUpTo != 0 || out.Configuration != 0 || out.Revision != 12 {
 			t.Errorf("without the configuration: fresh %v, status %+v", s.Fresh(), out)
 		}
@@ -122,6 +125,9 @@
 		if s.fetchRound(context.Background()) {
 			t.Error("the configuration was not fetched")
 		}
+		if s.Outdated() {
+			t.Error("with the configuration: outdated")
+		}
 		if out := s.status(); !s.Fresh() || out.AgeMs != 0 || out.ConfiguredUpTo != 12 || out.Configuration != 9 {
 			t.Errorf("with the configuration: fresh %v, status %+v", s.Fresh(), out)
 		}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -158,6 +158,14 @@
 // that the daemon may serve. Any goroutine may call it.
 func (s *Source) Fresh() bool { return s.fresh.Load() }
 
+// Outdated reports whether newer content than that of this daemon is known to be on its way. Any
+// goroutine may call it.
+func (s *Source) Outdated() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behind() || s.reader != nil && s.reader.reader.Receiving()
+}
+
 // Age returns the time since the state was known to be as new as the store. It is more than 0 while a
 // change is on its way to this daemon. Any goroutine may call it.
 func (s *Source) Age() time.Duration {
