Log a failing source of the configuration once in two seconds

A source that keeps failing is asked in each round, 60 ms apart, and would have written a warning each time. Further failures are counted (cowslip_registry_failed_transfers_total).

--- a/internal/feed/fetch.go
+++ b/internal/feed/fetch.go
@@ -76,16 +76,20 @@
 // behind reports whether another daemon has announced a newer configuration than this one has.
 func (s *Source) behind() bool { return s.announced.Load() > s.configurations.revision.Load() }
 
-// noteFetchFailure logs a failure and leaves its source out for some time, unless it is only busy or
-// has nothing newer.
+// noteFetchFailure has others asked before the source for some time, unless it is only busy or has
+// nothing newer. Further failures in that time are counted, but not logged.
 func (s *Source) noteFetchFailure(ctx context.Context, source Peer, err error) {
 	if ctx.Err() != nil || errors.Is(err, errBusy) || errors.Is(err, errNothingNewer) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.fetchAfter[source.VM] = time.Now().Add(avoidDuration)
 	s.failedTransfers.Add(1)
+	now := time.Now()
+	if now.Before(s.fetchAfter[source.VM]) {
+		return
+	}
+	s.fetchAfter[source.VM] = now.Add(avoidDuration)
 	s.options.Log.Warn("The configuration cannot be fetched from another daemon.", "vm", source.VM, "announced", s.announced.Load(), "err", err)
 }
 
