Send full states within a share of the link

Full states now take their turns within 0.8 of the link, and a follower that waits gets empty frames.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -26,6 +26,8 @@
 	changes  []registry.Change
 	changed  chan struct{}
 	watchers map[string]int
+	// oldest is the revision below which the history is no longer available.
+	oldest uint64
 }
 
 func newMemoryStore() *memoryStore {
@@ -47,6 +49,22 @@
 	s.changed = make(chan struct{})
 }
 
+// dropHistory makes all readers list the store again.
+func (s *memoryStore) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.oldest = s.revision
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *memoryStore) gone(revision uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return revision < s.oldest
+}
+
 func (s *memoryStore) after(revision uint64) ([]registry.Change, uint64, chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -81,6 +99,9 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
+		if v.gone(after) {
+			return nil, 0, registry.ErrHistoryGone
+		}
 		changes, revision, changed := v.after(after)
 		if len(changes) > 0 {
 			return changes, revision, nil
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync"
@@ -22,6 +23,13 @@
 // other faster travel together, which saves work at all daemons.
 const flushInterval = 50 * time.Millisecond
 
+const (
+	// fullStateShare is the share of the VM's link that full states may use.
+	fullStateShare = 0.8
+	// admissionInterval is the time between two tries to send a full state while there are too many.
+	admissionInterval = 100 * time.Millisecond
+)
+
 // hub sends the changes that this daemon receives to its followers. Each frame is encoded once for
 // all of them. It is safe for concurrent use.
 type hub struct {
@@ -38,6 +46,8 @@
 	// closed is closed to end all streams.
 	closed chan struct{}
 
+	// pacer spreads the full states over time. After a list of the store all followers need one.
+	pacer pacer
 	// sentBytes counts the bytes sent to followers, fullStates the full states among them.
 	sentBytes, fullStates atomic.Uint64
 
@@ -269,20 +279,16 @@
 	after, err := strconv.ParseUint(query.Get(afterParam), 10, 64)
 	f := h.add(err == nil, after, query.Get(readerParam) != "")
 	defer h.remove(f)
-	controller := http.NewResponseController(w)
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	for {
-		frames, changed := h.take(f)
-		for _, data := range frames {
-			if _, err := w.Write(data); err != nil {
-				return // the follower has disconnected, and will follow another daemon
-			}
-			h.sentBytes.Add(uint64(len(data)))
-		}
-		if controller.Flush() != nil {
+		if !h.admitFullState(r.Context(), w, f) {
 			return
 		}
+		frames, changed := h.take(f)
+		if !h.write(w, frames...) {
+			return // the follower has disconnected, and will follow another daemon
+		}
 		flushed := time.Now()
 		heartbeat.Reset(heartbeatInterval)
 		select {
@@ -298,3 +304,35 @@
 		}
 	}
 }
+
+// write sends frames to a follower, and reports whether that was possible.
+func (h *hub) write(w http.ResponseWriter, frames ...[]byte) bool {
+	for _, data := range frames {
+		if _, err := w.Write(data); err != nil {
+			return false
+		}
+		h.sentBytes.Add(uint64(len(data)))
+	}
+	return http.NewResponseController(w).Flush() == nil
+}
+
+// admitFullState returns once a follower that needs the full state may get it; others need not wait.
+// It reports whether the stream goes on. Meanwhile empty frames tell the follower that this daemon is
+// there, without a status, as the follower lacks what that would speak of.
+func (h *hub) admitFullState(ctx context.Context, w http.ResponseWriter, f *follower) bool {
+	for h.fallenBehind(f) {
+		wait, ok := h.pacer.reserve(time.Now(), len(h.encodedFullState().data))
+		if ok {
+			return pause.For(ctx, wait)
+		}
+		if empty, err := (&frame{}).encode(); err != nil || !h.write(w, empty) || !pause.For(ctx, admissionInterval) {
+			return false
+		}
+		select {
+		case <-h.closed:
+			return false
+		default:
+		}
+	}
+	return true
+}
--- a/internal/feed/narrow_test.go
+++ b/internal/feed/narrow_test.go
@@ -223,3 +223,40 @@
 		}
 	})
 }
+
+// Guards against a link that is full, and streams that end, because all followers get the full state
+// after the store has dropped its history.
+func TestListOfStoreOverNarrowLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newNarrowRegion(176, narrowLink)
+		random := rand.New(rand.NewPCG(28, 0))
+		r.registerAll()
+		for range 2048 { // of other regions
+			r.store.put(fmt.Sprintf("z-%016x", random.Uint64()))
+		}
+		r.startAll()
+		defer r.stopAll()
+		r.until(t, "all serve after a start", startBound, func(n *regionNode) bool { return n.source.Fresh() })
+		time.Sleep(5 * time.Second)
+		for _, n := range r.nodes {
+			n.uplink.forget()
+		}
+		r.store.dropHistory()
+		r.change(t, "z1", changeBound)
+		time.Sleep(3 * time.Second)
+		longest := time.Duration(0)
+		for _, n := range r.nodes {
+			longest = max(longest, n.uplink.longestQueue())
+		}
+		if t.Logf("packets waited up to %v", longest); longest > queueBound {
+			t.Errorf("packets waited up to %v, want at most %v", longest, queueBound)
+		}
+	})
+}
+
+// forget begins the count of the longest queue anew.
+func (l *link) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.longest = 0
+}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -125,6 +125,7 @@
 	s.configurations.pacer.bytesPerSecond = transferShare * options.LinkBytesPerSecond
 	s.awaitReaders()
 	s.hub = newHub()
+	s.hub.pacer.bytesPerSecond = fullStateShare * options.LinkBytesPerSecond
 	s.hub.fullState = func() []registry.Change { return withoutConfiguration(options.State()) }
 	s.hub.currentStatus, s.hub.removalHold, s.hub.report = s.status, options.RemovalHold, s.reportEncoding
 	return s
