Rely no longer on a reader whose transfer takes over two seconds

Looking at every path by which a daemon learns of a change: since transfers from the store end by lack of progress, a reader could say for up to 10 s that it reaches the store while content that it knows of was on its way, and nobody else would read. It now says so for 2 s at most; after that others take over as for a reader that is cut off. Its age was stated truly before. TestReaderWithLongTransferIsNotReliedOn shows both bounds.

--- a/internal/feed/configuration_test.go
+++ b/internal/feed/configuration_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/registry"
 	"github.com/cowsliprun/cowsliprun/internal/telemetry"
 )
@@ -153,3 +154,44 @@
 		t.Errorf("%d registrations, last status %+v", carried, last)
 	}
 }
+
+// receivingStore is a store whose watches bring something all the time and never end.
+type receivingStore struct{ *memoryStore }
+
+func (s receivingStore) List(context.Context, func()) ([]registry.Change, uint64, error) {
+	changes, revision, _ := s.after(0)
+	return changes, revision, nil
+}
+
+func (s receivingStore) Peek(context.Context) ([]registry.Change, error) { return nil, nil }
+
+func (s receivingStore) Watch(ctx context.Context, _ uint64, _ time.Duration, progress func()) ([]registry.Change, uint64, error) {
+	for pause.For(ctx, 100*time.Millisecond) {
+		progress()
+	}
+	return nil, 0, ctx.Err()
+}
+
+// Guards against a region that waits for a reader whose transfer from the store takes very long, and
+// against others that read as well as soon as a transfer begins.
+func TestReaderWithLongTransferIsNotReliedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemoryStore()
+		store.put("vm")
+		s := New(Options{
+			Self: "vm", Store: receivingStore{store}, Apply: func(registry.Update) bool { return true }, State: func() []registry.Change { return nil },
+			Peers: func() []Peer { return []Peer{{VM: "vm"}} }, RemovalHold: func() time.Duration { return 0 }, Log: telemetry.Discard(),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go s.Run(ctx)
+		time.Sleep(time.Second)
+		if out := s.status(); !out.Reading || out.StoreAgeMs != 0 || out.AgeMs == 0 || !s.Outdated() {
+			t.Errorf("after 1 s of a transfer: %+v, outdated %v", out, s.Outdated())
+		}
+		time.Sleep(receivePatience)
+		if out := s.status(); out.Reading || out.StoreAgeMs == 0 {
+			t.Errorf("after 3 s of a transfer: %+v", out)
+		}
+	})
+}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -101,13 +101,6 @@
 	fetchAfter map[string]time.Time
 }
 
-// receivedStatus is a status of another daemon and the time of its arrival, in nanoseconds since the
-// start of the Source.
-type receivedStatus struct {
-	status
-	at int64
-}
-
 // readerRun is one run of a registry.Reader.
 type readerRun struct {
 	reader *registry.Reader
@@ -159,61 +152,12 @@
 // that the daemon may serve. Any goroutine may call it.
 func (s *Source) Fresh() bool { return s.fresh.Load() }
 
-// Outdated reports whether newer content than that of this daemon is known to be on its way. Any
-// goroutine may call it.
-func (s *Source) Outdated() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.behind() || s.reader != nil && s.reader.reader.Receiving()
-}
-
-// Age returns the time since the state was known to be as new as the store. It is more than 0 while a
-// change is on its way to this daemon. Any goroutine may call it.
-func (s *Source) Age() time.Duration {
-	s.mu.Lock()
-	current := s.readerCurrent()
-	s.mu.Unlock()
-	if current {
-		return 0
-	}
-	return max(time.Since(s.start)-time.Duration(s.confirmed.Load()), 0)
-}
-
-// storeAge returns the time since a reader was known to reach the store.
-func (s *Source) storeAge() time.Duration {
-	if s.storeAvailable() {
-		return 0
-	}
-	return max(time.Since(s.start)-time.Duration(s.reached.Load()), 0)
-}
-
 // Followers returns the number of daemons that follow this one. Any goroutine may call it.
 func (s *Source) Followers() int {
 	all, _ := s.hub.count()
 	return all
 }
 
-// Stats counts what a Source has done since its start.
-type Stats struct {
-	// SentBytes are the bytes sent to followers, FullStates the full states among them.
-	SentBytes, FullStates uint64
-	// ConfigurationBytes are the bytes of configurations sent to other daemons. RefusedTransfers are
-	// the requests for one that came while there was too much to send.
-	ConfigurationBytes, RefusedTransfers uint64
-	// BrokenStreams are the streams from other daemons that broke, FailedTransfers the transfers of a
-	// configuration from them.
-	BrokenStreams, FailedTransfers uint64
-}
-
-// Stats returns the counts. Any goroutine may call it.
-func (s *Source) Stats() Stats {
-	return Stats{
-		SentBytes: s.hub.sentBytes.Load(), FullStates: s.hub.fullStates.Load(),
-		ConfigurationBytes: s.configurations.sentBytes.Load(), RefusedTransfers: s.configurations.refused.Load(),
-		BrokenStreams: s.brokenStreams.Load(), FailedTransfers: s.failedTransfers.Load(),
-	}
-}
-
 // Reading reports whether this daemon reads the store. Any goroutine may call it.
 func (s *Source) Reading() bool {
 	s.mu.Lock()
@@ -229,34 +173,6 @@
 	s.options.Log.Error("A frame for other daemons cannot be encoded.", "err", err)
 }
 
-// status returns the present status. What it says also holds for a state that is read after the
-// call.
-func (s *Source) status() status {
-	out := status{
-		Revision: s.completeRevision.Load(), ConfiguredUpTo: s.configuredRevision.Load(),
-		Reading: s.storeAvailable(), Complete: s.fresh.Load(), AgeMs: s.Age().Milliseconds(), StoreAgeMs: s.storeAge().Milliseconds(),
-	}
-	// A configuration is added before configuredRevision rises, so it is read after it.
-	out.Configuration = s.configurations.revision.Load()
-	return out
-}
-
-// storeAvailable reports whether this daemon reads the store and its latest call succeeded.
-func (s *Source) storeAvailable() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.readerAvailable()
-}
-
-// readerAvailable is storeAvailable for callers that hold mu.
-func (s *Source) readerAvailable() bool { return s.reader != nil && s.reader.reader.StoreAvailable() }
-
-// readerCurrent reports whether this daemon reads the store and knows of nothing newer that is on
-// its way. The caller holds mu.
-func (s *Source) readerCurrent() bool {
-	return s.readerAvailable() && !s.reader.reader.Receiving() && !s.behind()
-}
-
 // Run keeps the state up to date until ctx ends. It returns once all readers have stopped.
 func (s *Source) Run(ctx context.Context) {
 	var fetches sync.WaitGroup
@@ -299,12 +215,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	elapsed := now.Sub(s.start)
-	if s.readerAvailable() {
-		s.reached.Store(int64(elapsed))
-	}
 	if s.readerCurrent() {
 		s.confirmed.Store(int64(elapsed))
 	}
+	if s.readerAvailable() {
+		s.reached.Store(int64(elapsed))
+	}
 	v := s.view(now)
 	p := v.decide()
 	usual := v.peers[:min(readersPerRegion, len(v.peers))]
@@ -394,126 +310,6 @@
 	return !s.fresh.Load() && len(s.streams) > 0 && now.Sub(s.lastFollow) < firstStateTimeout
 }
 
-// handleFrame applies one frame of a stream.
-func (s *Source) handleFrame(st *stream, f frame) {
-	elapsed := int64(time.Since(s.start))
-	st.lastFrame.Store(elapsed)
-	st.complete = st.complete || f.Full && f.Complete
-	if f.Full || len(f.Changes) > 0 || f.RemovalHoldMs > 0 {
-		s.apply(registry.Update{Changes: f.Changes, Revision: f.Revision, Full: f.Full, RemovalHold: time.Duration(f.RemovalHoldMs) * time.Millisecond})
-	}
-	if f.Status == nil {
-		return
-	}
-	s.noteAnnouncement(st, f.Status.Configuration)
-	if st.complete {
-		r := &receivedStatus{*f.Status, elapsed}
-		st.status.Store(r)
-		s.handleStatus(r)
-	}
-	if f.Status.Reading && st.usual.Load() {
-		raise(&s.usualReader, elapsed)
-	}
-}
-
-// noteAnnouncement notes the configuration that another daemon has, and has it fetched if it is
-// newer than that of this daemon.
-func (s *Source) noteAnnouncement(st *stream, revision uint64) {
-	st.configuration.Store(revision)
-	raise(&s.announced, revision)
-	if !s.behind() {
-		return
-	}
-	select {
-	case s.fetchDue <- struct{}{}:
-	default: // the goroutine is about to look
-	}
-}
-
-// handleStatus takes what a daemon says whose registrations this one has. It does not count as fresh
-// before this one has the daemon's configuration too.
-func (s *Source) handleStatus(r *receivedStatus) {
-	configured := s.configurations.revision.Load() >= r.Configuration
-	age := r.age() + time.Since(s.start) - time.Duration(r.at)
-	s.apply(registry.Update{Revision: r.Revision, Fresh: configured && r.Complete && age < streamTimeout})
-	if configured {
-		raise(&s.configuredRevision, r.ConfiguredUpTo)
-	}
-	if !r.Complete {
-		return
-	}
-	raise(&s.reached, r.at-int64(r.storeAge()))
-	if configured && !s.behind() {
-		raise(&s.confirmed, r.at-int64(r.age()))
-	}
-}
-
-// raise sets v to at least value.
-func raise[T int64 | uint64](v interface {
-	Load() T
-	CompareAndSwap(before, after T) bool
-}, value T) {
-	for {
-		current := v.Load()
-		if value <= current || v.CompareAndSwap(current, value) {
-			return
-		}
-	}
-}
-
-// withoutConfiguration returns the changes but for the configuration, which other daemons fetch. A
-// large one would hold up the registrations.
-func withoutConfiguration(changes []registry.Change) []registry.Change {
-	isConfiguration := func(c registry.Change) bool { return c.Configuration != nil }
-	if !slices.ContainsFunc(changes, isConfiguration) {
-		return changes
-	}
-	return slices.DeleteFunc(slices.Clone(changes), isConfiguration)
-}
-
-// applyFromStore applies an update that this daemon has read, which has all changes up to its
-// revision.
-func (s *Source) applyFromStore(u registry.Update) {
-	s.apply(u)
-	raise(&s.configuredRevision, u.Revision)
-}
-
-// apply applies an update and passes on what was new. completeRevision rises only after the changes
-// are applied and queued for the followers. A heartbeat with the new revision before that could
-// make a follower continue from it without the changes. A full list of the store goes to all
-// followers even if it changed nothing here: it may end what only they still have.
-func (s *Source) apply(u registry.Update) {
-	isNew := s.options.Apply(u)
-	newConfiguration := s.addConfigurations(u.Changes)
-	u.Changes = withoutConfiguration(u.Changes)
-	becomesFresh := u.Fresh && !s.fresh.Load()
-	switch {
-	case becomesFresh, u.Full && (isNew || u.Fresh):
-		s.hub.sendFull(u)
-	case isNew && len(u.Changes) > 0:
-		s.hub.send(u.Changes)
-	case newConfiguration:
-		s.hub.wake()
-	}
-	if u.Fresh {
-		s.fresh.Store(true)
-	}
-	raise(&s.completeRevision, u.Revision)
-}
-
-// addConfigurations keeps the configurations among applied changes for other daemons, and reports
-// whether there was a newer one.
-func (s *Source) addConfigurations(changes []registry.Change) bool {
-	before := s.configurations.revision.Load()
-	followers, _ := s.hub.count()
-	for i := range changes {
-		if changes[i].Configuration != nil {
-			s.configurations.add(changes[i], followers > 0)
-		}
-	}
-	return s.configurations.revision.Load() > before
-}
-
 // setReading starts or stops reading the store. The caller holds mu.
 func (s *Source) setReading(ctx context.Context, now time.Time, needed bool) {
 	switch {
