--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -42,7 +42,8 @@
 	RequestTooLarge
 	// Shed: a request of higher priority took the place in the home daemon's queue.
 	Shed
-	// NoConfiguration: the daemon has no configuration yet.
+	// NoConfiguration: the daemon has no configuration yet, or knows of a newer one that may have the
+	// route of the request.
 	NoConfiguration
 	// NoBackend: the service has no backend server that may be tried.
 	NoBackend
