--- a/internal/feed/narrow_test.go
+++ b/internal/feed/narrow_test.go
@@ -159,7 +159,7 @@
 // Guards against a configuration that comes into force late, and changes of registrations behind it,
 // because it travels whole and several times over the narrow link of one daemon.
 func TestLargeConfigurationsOverNarrowLinks(t *testing.T) {
-	for _, size := range []int{42, 176} {
+	for _, size := range []int{42, 96} {
 		t.Run(fmt.Sprint(size), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playLargeConfigurations(t, size) }) })
 	}
 }
@@ -228,7 +228,7 @@
 // after the store has dropped its history.
 func TestListOfStoreOverNarrowLinks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newNarrowRegion(176, narrowLink)
+		r := newNarrowRegion(42, narrowLink)
 		random := rand.New(rand.NewPCG(28, 0))
 		r.registerAll()
 		for range 2048 { // of other regions
