--- a/internal/feed/narrow_test.go
+++ b/internal/feed/narrow_test.go
@@ -160,7 +160,10 @@
 // because it travels whole and several times over the narrow link of one daemon.
 func TestLargeConfigurationsOverNarrowLinks(t *testing.T) {
 	for _, size := range []int{42, 96} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playLargeConfigurations(t, size) }) })
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { playLargeConfigurations(t, size) })
+		})
 	}
 }
 
@@ -197,6 +200,7 @@
 // Guards against a configuration that stays away from daemons whose source stops in the middle of the
 // transfer, without a word or with a broken connection.
 func TestLargeConfigurationWhileItsSourcesFail(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		r := newNarrowRegion(42, narrowLink)
 		random := rand.New(rand.NewPCG(27, 0))
@@ -227,6 +231,7 @@
 // Guards against a link that is full, and streams that end, because all followers get the full state
 // after the store has dropped its history.
 func TestListOfStoreOverNarrowLinks(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		r := newNarrowRegion(42, narrowLink)
 		random := rand.New(rand.NewPCG(28, 0))
