Show that a machine that is cut off keeps slots of others taken

Cause: a home holds a slot while it waits for the rest of a request, and this read has no deadline. If the entry vanishes without a sign, the slot stays taken until the kernel gives up the connection.

Added a script: one machine of six is cut off while six uploads of its callers arrive.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,6 +20,7 @@
 // cases are the cases by name. Each returns whether the rule held, or an error if it could not run.
 var cases = map[string]func(log *record, trouble bool) (held bool, err error){
 	"cut-readers": cutReaders,
+	"lost-entry":  lostEntry,
 	"slow-upload": slowUpload,
 }
 
