Show that an earlier start time hides a draining server for good

Cause: a write of a registration replaces an earlier one of the same key only if the start of its server is not earlier. After a restart under the same id with an earlier clock, everything that the server reports is ignored until its key is removed.

Added a script: a server starts twice within 1.4 s, at the first start with a clock that is 2 s ahead, and drains seven calm seconds later.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -19,6 +19,7 @@
 
 // cases are the cases by name. Each returns whether the rule held, or an error if it could not run.
 var cases = map[string]func(log *record, trouble bool) (held bool, err error){
+	"clock-step":  clockStep,
 	"cut-readers": cutReaders,
 	"lost-entry":  lostEntry,
 	"slow-upload": slowUpload,
