Judge the case of held slots only after a short loss of power

Cause: the earlier script cut one machine off for 12 s and judged during the cut, when a link of the judged servers was harmed in some way.

The machine now loses power for 3.5 s, and only the time from 6 s after its return is judged. Nothing of the judged servers has a disruption.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -113,10 +113,11 @@
 func (f *fleet) openLinks(port, portOfLast int) error {
 	for i, m := range f.machines {
 		from, to := address(m.ip, portOfLast), address(m.ip, port)
-		if i == len(f.machines)-1 {
+		isLast := i == len(f.machines)-1
+		if isLast {
 			from, to = to, from
 		}
-		l, err := newLink(from, to)
+		l, err := newLink(from, to, !isLast)
 		if err != nil {
 			return err
 		}
--- a/review/standin/lostentry.go
+++ b/review/standin/lostentry.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -10,23 +11,25 @@
 
 // Figures of the case lost-entry.
 const (
-	// cutFor is how long one machine is cut off; the site file has 12 s.
-	cutFor = 12 * time.Second
+	// darkFor is how long one machine has no power; the site file has 3.5 s.
+	darkFor = 3500 * time.Millisecond
+	// soundAfter is the time without disruption after which an upstream counts as sound. Only what
+	// comes later is judged, although the upstreams themselves have no disruption at all.
+	soundAfter = 2 * contact
+	// judgedUntil is the end of the judged time, counted from the loss of power: shortly before the
+	// kernels of the other machines notice it.
+	judgedUntil = keepAliveProbe - 500*time.Millisecond
 	// lookupInterval is the time between two lookups: 40 a second, of the 60 that the upstreams can
 	// serve.
 	lookupInterval = 25 * time.Millisecond
 	// floorWindow and floorShare are those of the rule FLOOR.
 	floorWindow = 2 * time.Second
 	floorShare  = 0.7
-	// soundAfter is the time without disruption after which an upstream counts as sound.
-	soundAfter = 2 * contact
-	// uploadsOver is when the uploads would be over without a cut. Only what comes later is judged.
-	uploadsOver = 6 * time.Second
-	// uploads is the number of uploads under way on the machine that is cut off.
+	// uploads is the number of uploads under way on the machine that loses power.
 	uploads = 6
 )
 
-// lostEntry cuts off one machine while uploads of its clients are under way. The rule FLOOR is broken
+// lostEntry takes the power from one machine while uploads of its clients are under way. The rule FLOOR is broken
 // if for 2 s some, but less than FloorShare, of the sound upstreams get requests, while more than a
 // tenth of the requests of the other machines, but under half, are not served.
 func lostEntry(log *record, trouble bool) (bool, error) {
@@ -70,23 +73,35 @@
 		}
 	})
 	time.Sleep(500 * time.Millisecond)
+	begin := time.Now()
 	if trouble {
-		lost.gate.silence()
 		for _, l := range f.links {
-			l.setCut(true)
+			l.losePower()
+		}
+		lost.process.Process.Kill() //nolint:errcheck // the record shows its end
+		lost.upstream.crash()
+		log.event("power", "", "network", "the machine "+lost.ip+" loses power")
+	}
+	time.Sleep(darkFor)
+	if trouble {
+		<-lost.ended
+		for _, l := range f.links {
+			l.restorePower()
+		}
+		if err := errors.Join(lost.upstream.start(), f.startDaemon(lost)); err != nil {
+			return false, err
 		}
-		log.event("cut", "", "network", "the machine "+lost.ip+" is cut off")
+		log.event("power", "", "network", "the machine "+lost.ip+" has power again")
 	}
-	cut := time.Now()
-	time.Sleep(cutFor)
+	time.Sleep(time.Until(begin.Add(judgedUntil)))
 	end := time.Now()
 	close(stop)
 	clients.Wait()
-	return judgeFloor(log, f, cut, cut.Add(uploadsOver), end), nil
+	return judgeFloor(log, f, begin, begin.Add(darkFor+soundAfter), end), nil
 }
 
 // judgeFloor applies the rule FLOOR to the lookups of the windows between two times.
-func judgeFloor(log *record, f *fleet, cut, begin, end time.Time) bool {
+func judgeFloor(log *record, f *fleet, lost, begin, end time.Time) bool {
 	events := log.all()
 	served := map[string]bool{}
 	for _, e := range events {
@@ -123,8 +138,8 @@
 		if isBroken {
 			broken++
 		}
-		log.say("%5.1f s to %5.1f s after the cut: %d of %d upstreams got requests, %d of %d lookups were not served%s",
-			from.Sub(cut).Seconds(), until.Sub(cut).Seconds(), len(reached), sound, unserved, asked, map[bool]string{true: " (broken)"}[isBroken])
+		log.say("%4.1f s to %5.1f s after the loss of power: %d of %d upstreams got requests, %d of %d lookups were not served%s",
+			from.Sub(lost).Seconds(), until.Sub(lost).Seconds(), len(reached), sound, unserved, asked, map[bool]string{true: " (broken)"}[isBroken])
 	}
 	return broken == 0
 }
