--- a/review/standin/slowupload.go
+++ b/review/standin/slowupload.go
@@ -15,8 +15,6 @@
 	slowDeadline       = 10 * time.Second
 	// leaveNotice is when an upstream reports that it drains, after the uploads began.
 	leaveNotice = 500 * time.Millisecond
-	// servesFor is how long the leaving upstream still serves: Drain and "at times many seconds".
-	servesFor = 15 * time.Second
 )
 
 // slowUpload sends uploads whose clients need some seconds for the body. With the trouble, one
