Apply updates of the registry one after the other

A daemon lacked a backend server's change for good, until the store's next full list: its table counted as complete up to a revision whose change it had never got.

Cause: the same change often comes to a daemon on two ways, from the store and from another daemon. Both call Source.apply. The first one applies it, and has yet to queue it for the followers; the second one finds it applied and raises the revision that the status states. A follower that gets this status between the two counts the change as known, and Table.apply ignores it when it comes.

Mend: apply holds a mutex. The test makes the second way end while the first one queues; without the mutex it fails in 3 of 3 runs, with it 20 of 20 pass, also with the race detector. Costs no call and no byte.

--- a/internal/feed/order_test.go
+++ b/internal/feed/order_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -64,6 +65,49 @@
 	}
 }
 
+// Guards against a change that a daemon lacks for good: it came to the sender on two ways, and the
+// second one made the sender state its revision before the first one had queued it for the followers.
+// Those took it for known when it came.
+func TestRevisionIsNotSentBeforeAChangeOnAnotherWayIsQueued(t *testing.T) {
+	const yields = 100_000 // enough for the other way to end, unless it waits
+	change := []registry.Change{{Key: "k", Revision: 5}}
+	var applied, queueing atomic.Bool
+	var s *Source
+	var f *follower
+	done := make(chan struct{})
+	s = New(Options{
+		Self: "vm", State: func() []registry.Change { return nil }, Log: telemetry.Discard(),
+		Apply: func(u registry.Update) bool { return len(u.Changes) > 0 && applied.CompareAndSwap(false, true) },
+		RemovalHold: func() time.Duration {
+			if !queueing.CompareAndSwap(true, false) {
+				return 0
+			}
+			// The change is applied, and not queued.
+			go func() {
+				defer close(done)
+				s.applyFromStore(registry.Update{Changes: change, Revision: 5})
+			}()
+			for range yields {
+				runtime.Gosched()
+			}
+			for _, out := range take(t, s.hub, f) {
+				if out.Status.Revision >= 5 {
+					t.Errorf("a status has revision %d before the change was sent", out.Status.Revision)
+				}
+			}
+			return 0
+		},
+	})
+	f = s.hub.add(true, 4, false)
+	queueing.Store(true)
+	s.handleFrame(&stream{}, frame{Changes: change})
+	<-done
+	out := take(t, s.hub, f)
+	if len(out) != 2 || len(out[0].Changes) != 1 || out[1].Status.Revision != 5 {
+		t.Errorf("sent in the end: %+v", out)
+	}
+}
+
 // Guards against a state that counts as fresh before it is applied, or before the sender says that
 // it is new. An update from another stream could then put an old state in force.
 func TestFreshOnlyAfterFullStateIsApplied(t *testing.T) {
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -85,6 +85,8 @@
 	// one after it. Only the goroutine of Run uses them.
 	nextPeek     time.Time
 	peekInterval time.Duration
+	// applyMu is held while an update is applied and queued for the followers.
+	applyMu sync.Mutex
 	// readers counts the readers that have yet to end.
 	readers sync.WaitGroup
 
--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -164,9 +164,13 @@
 
 // apply applies an update and passes on what was new. completeRevision rises only after the changes
 // are applied and queued for the followers. A heartbeat with the new revision before that could
-// make a follower continue from it without the changes. A full list of the store goes to all
-// followers even if it changed nothing here: it may end what only they still have.
+// make a follower continue from it without the changes, or ignore them as known when they come. Calls
+// wait for each other, because the same change may come on two ways: the one that finds it applied
+// must not say so before the other one has queued it. A full list of the store goes to all followers
+// even if it changed nothing here: it may end what only they still have.
 func (s *Source) apply(u registry.Update) {
+	s.applyMu.Lock()
+	defer s.applyMu.Unlock()
 	isNew := s.options.Apply(u)
 	newConfiguration := s.addConfigurations(u.Changes)
 	u.Changes = withoutConfiguration(u.Changes)
