See a server drain that has the earlier start of two under its id

It had started under its id while the clock of its VM was 2 s ahead, and again 1.4 s later with the right time.

Cause: a write replaced another one of the same key only if neither its revision nor its start was earlier. After a clock went back all that the present incarnation reported was kept beside the old write, and the old one was used until the key was removed.

Ruled out: home and entry compare starts for equality only.

Mend: a write with an earlier start that stands for 1.6 s as the latest one overrules those with a later start, as a present incarnation writes again within 1.5 s. Until then a late write of an earlier incarnation has no effect, as before. Of two servers at an address both count while start and revision disagree; one of them got no requests before. Registrations keep revision order, which cannot go back.

Costs no call and no byte. Open: a server that drains within 1.6 s of such a start, beside silent readers, may be seen late.

--- a/internal/registry/build.go
+++ b/internal/registry/build.go
@@ -37,7 +37,7 @@
 
 // Build returns a snapshot of the table's content, or nil while the table holds no configuration.
 // Registrations that are draining, belong to an unknown service or have an unreadable address add
-// no backend server, nor do those whose address a later start has taken over.
+// no backend server, nor do those whose address another one has taken over.
 func Build(t *Table, options BuildOptions) *catalog.Snapshot {
 	c, revision := t.Configuration()
 	if c == nil {
@@ -45,10 +45,10 @@
 	}
 	b := builder{options: options, revision: revision, vmsByID: map[string]*catalog.VM{}}
 	b.addServices(c.Services)
-	registrations := t.Registrations()
-	b.recordLatestStarts(registrations)
-	for _, r := range registrations {
-		b.addRegistration(r)
+	writes := t.inUse()
+	b.groupByAddress(writes)
+	for _, w := range writes {
+		b.addRegistration(w)
 	}
 	for _, svc := range b.resolved.Services {
 		svc.Floor = catalog.FloorCount(len(svc.BackendServers), options.FloorPercent)
@@ -63,21 +63,29 @@
 	resolved       catalog.ResolvedConfiguration
 	servicesByName map[string]*catalog.Service
 	vmsByID        map[string]*catalog.VM
-	// latestStart is the latest start time at each address, among the backend servers of known
-	// services.
-	latestStart map[string]int64
+	// atAddress holds the writes of the backend servers of known services by address.
+	atAddress map[string][]write
 }
 
-// recordLatestStarts fills latestStart.
-func (b *builder) recordLatestStarts(registrations []*Registration) {
-	b.latestStart = make(map[string]int64, len(registrations))
-	for _, r := range registrations {
-		if b.servicesByName[r.Service] != nil {
-			b.latestStart[r.Address] = max(b.latestStart[r.Address], r.Started)
+// groupByAddress fills atAddress.
+func (b *builder) groupByAddress(writes []write) {
+	b.atAddress = make(map[string][]write, len(writes))
+	for _, w := range writes {
+		if b.servicesByName[w.registration.Service] != nil {
+			b.atAddress[w.registration.Address] = append(b.atAddress[w.registration.Address], w)
 		}
 	}
 }
 
+// displaced reports whether another backend server has the address: it started later and has been
+// written later. Only one of these may be due to a clock that went back or to a late write. The
+// backend servers then both stay, and the one that is not there costs its requests another attempt.
+func (b *builder) displaced(w write) bool {
+	return w.registration.Started > 0 && slices.ContainsFunc(b.atAddress[w.registration.Address], func(other write) bool {
+		return other.registration.Started > w.registration.Started && other.revision > w.revision
+	})
+}
+
 func (b *builder) addServices(list []Service) {
 	b.servicesByName = make(map[string]*catalog.Service, len(list))
 	for _, s := range list {
@@ -93,7 +101,8 @@
 // addRegistration adds the VM of a registration and, if the backend server may get requests, the
 // backend server. The VM of a draining backend server is added too, because its daemon still sends
 // requests.
-func (b *builder) addRegistration(r *Registration) {
+func (b *builder) addRegistration(w write) {
+	r := w.registration
 	address, err := netip.ParseAddrPort(r.Address)
 	if err != nil {
 		return
@@ -103,8 +112,8 @@
 	if svc == nil || r.Draining {
 		return
 	}
-	if r.Started > 0 && r.Started < b.latestStart[r.Address] {
-		return // a backend server that started later has the address; this registration has not expired yet
+	if b.displaced(w) {
+		return // its registration has not expired yet
 	}
 	svc.BackendServers = append(svc.BackendServers, &catalog.BackendServer{
 		ID: r.ID, Service: r.Service, Address: r.Address, Slots: max(r.Slots, 1), VM: vm, Started: r.Started,
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -106,7 +106,9 @@
 		t.order = nil
 	}
 	if c.Registration != nil {
-		return e.add(write{c.Revision, c.Registration})
+		isNew := e.add(write{c.Revision, c.Registration, now})
+		t.expireBy(e.nextExpiry())
+		return isNew
 	}
 	return t.remove(now, e, c.Revision)
 }
@@ -145,8 +147,8 @@
 	return changed
 }
 
-// Expire ends registrations whose hold is over and deletes old tombstones. It reports whether a
-// registration ended.
+// Expire ends registrations whose hold is over or that a later incarnation has overruled, and deletes
+// old tombstones. It reports whether a registration ended.
 func (t *Table) Expire(now time.Time) bool {
 	if t.expireAt.IsZero() || now.Before(t.expireAt) {
 		return false
@@ -158,7 +160,8 @@
 			e.held = nil
 			changed = true
 		}
-		if e.current() == nil && !e.removedAt.IsZero() && !now.Before(e.removedAt.Add(tombstoneTTL)) {
+		changed = e.overrule(now) || changed
+		if e.inUse().registration == nil && !e.removedAt.IsZero() && !now.Before(e.removedAt.Add(tombstoneTTL)) {
 			delete(t.entries, key)
 			t.order = nil
 			continue
@@ -179,9 +182,18 @@
 // Registrations returns the registrations in use, held ones included, ordered by key.
 func (t *Table) Registrations() []*Registration {
 	var out []*Registration
+	for _, w := range t.inUse() {
+		out = append(out, w.registration)
+	}
+	return out
+}
+
+// inUse returns the writes of the registrations in use, ordered by key.
+func (t *Table) inUse() []write {
+	var out []write
 	for _, key := range t.keys() {
-		if r := t.entries[key].current(); r != nil {
-			out = append(out, r)
+		if w := t.entries[key].inUse(); w.registration != nil {
+			out = append(out, w)
 		}
 	}
 	return out
--- a/internal/registry/table_test.go
+++ b/internal/registry/table_test.go
@@ -145,6 +145,78 @@
 	}
 }
 
+// Guards against a backend server that is never seen to drain, because it has the earlier start: the
+// clock of its VM was ahead when it started before under the same id.
+func TestPresentIncarnationMayHaveTheEarlierStart(t *testing.T) {
+	const (
+		// expiry is the interval of the daemon's calls of Expire.
+		expiry = 250 * time.Millisecond
+		// limit is the 2.5 s within which a draining server must get no more requests, less the time
+		// until a change is known, gathered with others and published.
+		limit = 2500*time.Millisecond - batchDelay - 200*time.Millisecond
+	)
+	for _, drainsAfter := range []time.Duration{0, 100 * time.Millisecond, time.Second, 7 * time.Second} {
+		table := NewTable()
+		table.Apply(epoch, []Change{registrationChange("s", 1, func(r *Registration) { r.Started = 2000 })})
+		again := epoch.Add(1400 * time.Millisecond)
+		table.Apply(again, []Change{registrationChange("s", 2, func(r *Registration) { r.Started = 1400 })})
+		drains := again.Add(drainsAfter)
+		now := again
+		for ; now.Before(drains); now = now.Add(expiry) {
+			table.Expire(now)
+		}
+		table.Apply(drains, []Change{registrationChange("s", 3, func(r *Registration) { r.Started, r.Draining = 1400, true })})
+		for ; now.Before(drains.Add(limit)); now = now.Add(expiry) {
+			table.Expire(now)
+		}
+		if r := table.Registrations()[0]; !r.Draining || r.Started != 1400 {
+			t.Errorf("a server that drains %v after its start: %+v %v later", drainsAfter, r, limit)
+		}
+		// Another daemon may still pass on what it has not overruled.
+		table.Apply(now, []Change{registrationChange("s", 1, func(r *Registration) { r.Started = 2000 })})
+		if r := table.Registrations()[0]; !r.Draining {
+			t.Errorf("after the first write was passed on again: %+v", r)
+		}
+	}
+}
+
+// Guards against a late write of an earlier incarnation that ends the present one. The present one
+// writes again within the interval of its writes, and the late write has no effect in between.
+func TestLateWriteOfEarlierIncarnationHasNoEffect(t *testing.T) {
+	const rewritten = 1550 * time.Millisecond // the interval of writes, and the time until one is known
+	table := NewTable()
+	table.Apply(epoch, []Change{registrationChange("s", 1, func(r *Registration) { r.Started = 20 })})
+	for i := range uint64(5) {
+		late := epoch.Add(time.Duration(i) * time.Minute)
+		table.Apply(late, []Change{registrationChange("s", 2*i+2, func(r *Registration) { r.Started, r.Draining = 10, true })})
+		for now := late; now.Before(late.Add(rewritten)); now = now.Add(100 * time.Millisecond) {
+			table.Expire(now)
+			if r := table.Registrations()[0]; r.Draining || r.Started != 20 {
+				t.Fatalf("%v after the late write: %+v", now.Sub(late), r)
+			}
+		}
+		table.Apply(late.Add(rewritten), []Change{registrationChange("s", 2*i+3, func(r *Registration) { r.Started = 20 })})
+		table.Expire(late.Add(time.Minute))
+		if r := table.Registrations()[0]; r.Draining || r.Started != 20 {
+			t.Fatalf("after the present incarnation has written again: %+v", r)
+		}
+	}
+}
+
+// Guards against a backend server that gets no requests because one that ended at its address, with a
+// clock that was ahead, has the later start.
+func TestServerWithTheEarlierStartAtAnAddressIsUsed(t *testing.T) {
+	table := NewTable()
+	table.Apply(epoch, []Change{
+		{Key: "op/config", Revision: 1, Configuration: &Configuration{Version: 1, Services: []Service{{Name: "stock"}}}},
+		registrationChange("ended", 2, func(r *Registration) { r.Started = 2000 }),
+		registrationChange("present", 3, func(r *Registration) { r.Started = 1400 }),
+	})
+	if servers := Build(table, BuildOptions{}).Service("stock").BackendServers; len(servers) != 2 {
+		t.Errorf("%d backend servers, want both, as either may be the present one", len(servers))
+	}
+}
+
 // Guards against requests to backend servers that are draining, belong to an unknown service or
 // have an unreadable value.
 func TestBuildUsesOnlyReadyBackendServers(t *testing.T) {
