Let steps of a search for readers depend on the age of what is known alone

What callers would see: in regions of more than 64 daemons, old configurations and draining servers in use for up to 2.7 s while machines are cut off, the readers among them.

Cause: the time until silence is noticed, one step for each successor that is silent too, and the time until a daemon leaves silent relays added up. At most 8 daemons tried while a daemon heard of any other: if the first 8 were silent, none read.

Mend: 1.3 s after the store's last known response the first 4 daemons try, then 16, 64 and 256, each 0.25 s later. All daemons search, those below relays too. A daemon without a state yet, whose read would be a full list, keeps to the first 8. A daemon that the store does not answer stops with its reason to read, so that searches in vain stay cheap.

--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -20,8 +20,8 @@
 	reconcileInterval = 100 * time.Millisecond
 	// avoidDuration is how long a daemon is not followed after its stream broke.
 	avoidDuration = 2 * time.Second
-	// readerLinger is how long a daemon goes on reading after the last reason for it has gone, so
-	// that a short gap does not cost a new list.
+	// readerLinger is how long a daemon that reaches the store goes on reading after the last reason
+	// for it has gone, so that a short gap does not cost a new list.
 	readerLinger = time.Second
 	// firstStateTimeout is how long a starting daemon waits for the state of a reader before others
 	// than the usual readers begin to read.
@@ -247,8 +247,9 @@
 		}
 	}
 	_, dependants := s.hub.count()
-	// A daemon that reads goes on until it can rely on others.
-	s.setReading(ctx, now, p.read || dependants > 0 || s.reader != nil && !v.hearsOfStore)
+	// A daemon that reaches the store goes on until it can rely on others.
+	alone := s.reader != nil && !s.reader.reader.Failing() && !v.hearsOfStore
+	s.setReading(ctx, now, p.read || dependants > 0 || alone)
 }
 
 // noteReader records what the reader of this daemon knows. The caller holds mu.
@@ -386,7 +387,7 @@
 		s.readers.Go(func() { run.reader.Run(readCtx) })
 	case needed:
 		s.reader.lastNeeded = now
-	case s.reader != nil && now.Sub(s.reader.lastNeeded) > readerLinger:
+	case s.reader != nil && (s.reader.reader.Failing() || now.Sub(s.reader.lastNeeded) > readerLinger):
 		s.options.Log.Info("This daemon stops reading the store and follows other daemons.", "revision", s.completeRevision.Load())
 		s.reader.cancel()
 		s.reader = nil
--- a/internal/feed/tree.go
+++ b/internal/feed/tree.go
@@ -12,19 +12,24 @@
 	// readersPerRegion is the number of daemons of a region that normally read the store. With two,
 	// nothing is lost while one of them is cut off and not yet known to be.
 	readersPerRegion = 2
-	// maxReaders bounds the daemons of a region that try to reach the store while it is away, as
-	// long as they hear of each other.
+	// maxReaders bounds the daemons of a region that keep trying while the store is away for all, and
+	// the daemons that one follows as readers.
 	maxReaders = 8
+	// startReaders is the number of daemons that read first when the usual readers are not heard of.
+	startReaders = 4
+	// searchFactor is by how much more daemons read in each further step of a search.
+	searchFactor = 4
 	// maxFollowers is the number of followers that a daemon is meant to have. Regions with more
 	// daemons have relays.
 	maxFollowers = 64
 	// relaysPerDaemon is the number of relays that a daemon follows.
 	relaysPerDaemon = 2
-	// takeoverInterval is the time after which twice as many daemons try to read, while those that
-	// do fail.
+	// takeoverInterval is the time between two steps of a search.
 	takeoverInterval = 250 * time.Millisecond
-	// relayPatience is how long a daemon relies on relays that do not hear of the store.
-	relayPatience = 3 * storeTimeout
+	// searchDuration is the length of a search. After that only maxReaders daemons go on trying, until
+	// the next one, searchPeriod after its begin.
+	searchDuration = time.Second
+	searchPeriod   = 5 * time.Second
 	// noPeersTimeout is how long a daemon waits for others to register before it reads the store. A
 	// look for peers costs less than a read, but may show the store as it was seconds ago.
 	noPeersTimeout = 4 * time.Second
@@ -69,31 +74,61 @@
 	}
 	var p place
 	count := min(v.readerCount(), len(v.peers))
-	p.read = containsVM(v.peers[:count], v.self) || v.lost > storeTimeout && !v.connected && count == len(v.peers)
 	// A daemon that hears of nobody may read, but must not make all others read.
-	readers := v.peers[:min(count, maxReaders)]
+	lonely := !v.connected && v.lost > storeTimeout+searchDuration
+	p.read = lonely || containsVM(v.peers[:count], v.self)
 	relays := v.relays()
-	switch {
-	case len(relays) == 0 || p.read || containsVM(relays, v.self):
-		p.readers = v.withoutSelf(readers)
-	case v.lost > relayPatience:
-		p.readers = v.nearest(readers)
-		p.relays = v.nearest(relays)
-	default:
-		p.relays = v.nearest(relays)
+	leaf := len(relays) > 0 && !p.read && !containsVM(relays, v.self)
+	if leaf {
+		p.relays = v.nearest(relays, relaysPerDaemon)
+	}
+	if !leaf || v.lost > storeTimeout {
+		p.readers = v.candidates(count)
 	}
 	return p
 }
 
-// readerCount returns how many daemons of the region are to read the store. While the usual ones
-// fail it doubles step by step, so that a store that is away does not get a call of each daemon.
+// candidates returns the daemons to follow out of the first ones that read. While there are many, the
+// first ones have been tried, and each daemon follows others.
+func (v *view) candidates(count int) []Peer {
+	if count <= maxReaders {
+		return v.withoutSelf(v.peers[:count])
+	}
+	return v.nearest(v.peers[min(count/searchFactor, len(v.peers)-maxReaders):count], maxReaders)
+}
+
+// readerCount returns how many daemons of the region are to read the store. While the usual readers
+// are not heard of, more try in steps. Those that are silent themselves cost no further time: each
+// step begins at a set age of the state, whatever became of the steps before.
 func (v *view) readerCount() int {
+	lost := v.lost - storeTimeout
+	if lost <= 0 {
+		return readersPerRegion
+	}
+	if !v.complete {
+		return v.readerCountAtStart(lost)
+	}
+	search := lost % searchPeriod
+	if search >= searchDuration {
+		return maxReaders
+	}
+	count := startReaders
+	for ; search >= takeoverInterval; search -= takeoverInterval {
+		count *= searchFactor
+	}
+	return count
+}
+
+// readerCountAtStart returns how many daemons of the region are to read the store while this one has
+// no state yet, so that its read would be a list of everything. lost is the time for which it has
+// waited in vain.
+func (v *view) readerCountAtStart(lost time.Duration) int {
 	limit := maxReaders
 	if !v.connected {
 		limit = len(v.peers)
 	}
 	count := readersPerRegion
-	for lost := v.lost - storeTimeout; lost > 0 && count < limit; lost -= takeoverInterval {
+	for ; lost > 0 && count < limit; lost -= takeoverInterval {
 		count *= 2
 	}
 	return max(readersPerRegion, min(count, limit))
@@ -125,12 +160,12 @@
 }
 
 // nearest returns the daemons that this one follows out of many, which are others for each daemon.
-func (v *view) nearest(peers []Peer) []Peer {
+func (v *view) nearest(peers []Peer, count int) []Peer {
 	chosen := v.withoutSelf(peers)
 	slices.SortFunc(chosen, func(a, b Peer) int {
 		return cmp.Compare(xxhash.Sum64String(v.self+" "+a.VM), xxhash.Sum64String(v.self+" "+b.VM))
 	})
-	return chosen[:min(relaysPerDaemon, len(chosen))]
+	return chosen[:min(count, len(chosen))]
 }
 
 func (v *view) withoutSelf(peers []Peer) []Peer {
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -101,9 +101,10 @@
 	// may be concurrent with those of onUpdate.
 	onStatus func()
 	after    uint64
-	// storeAvailable is true while the latest call to the store succeeded, receiving while changes
-	// arrive that are not yet passed on.
-	storeAvailable, receiving atomic.Bool
+	// storeAvailable is true while the latest call to the store succeeded, failing while it failed.
+	// Before the end of the first call neither is. receiving is true while changes arrive that are not
+	// yet passed on.
+	storeAvailable, failing, receiving atomic.Bool
 	// start is the origin of lastContact, which is the time in nanoseconds at which the store was last
 	// known to answer.
 	start       time.Time
@@ -136,6 +137,9 @@
 // StoreAvailable reports whether the latest call to the store succeeded. Any goroutine may call it.
 func (r *Reader) StoreAvailable() bool { return r.storeAvailable.Load() }
 
+// Failing reports whether the latest call to the store failed. Any goroutine may call it.
+func (r *Reader) Failing() bool { return r.failing.Load() }
+
 // Receiving reports whether changes are arriving that are not yet passed on. Any goroutine may call
 // it.
 func (r *Reader) Receiving() bool { return r.receiving.Load() }
@@ -277,6 +281,7 @@
 	r.onUpdate(u)
 	// Other daemons rely on the state of a daemon whose store is available, so apply the update
 	// first.
+	r.failing.Store(false)
 	r.storeAvailable.Store(true)
 	if len(u.Changes) == 0 {
 		r.onStatus()
@@ -295,6 +300,7 @@
 	}
 	s.consecutiveFailures++
 	s.unconfirmed = true
+	r.failing.Store(true)
 	r.storeAvailable.Store(false)
 	r.onStatus()
 	pause.For(ctx, min(maxBackoff, initialBackoff<<min(s.consecutiveFailures-1, 4)))
