Show that bytes without end are not kept

A report of another operator: a machine ran out of memory by what a faulty upstream sent without end. Weighed for the home, which reads the responses: it does not happen. The head is limited to 64 KiB, and a body goes through one buffer at the pace of its caller.

--- a/internal/home/hostile_test.go
+++ b/internal/home/hostile_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -105,6 +106,14 @@
 // serveHostile sends one request through a home to the backend server. It reports whether the home
 // broke the response off.
 func serveHostile(t *testing.T, s *hostileServer) (h *Home, w *discardResponse, aborted bool) {
+	t.Helper()
+	w = &discardResponse{header: http.Header{}}
+	h, aborted = serveHostileTo(t, s, w)
+	return h, w, aborted
+}
+
+// serveHostileTo is serveHostile with a receiver of its own.
+func serveHostileTo(t *testing.T, s *hostileServer, w http.ResponseWriter) (h *Home, aborted bool) {
 	t.Helper()
 	h = New(Options{VM: "vm1", Dialect: closeDelimited{}})
 	h.Apply(catalog.Build([]catalog.Source{
@@ -118,7 +127,6 @@
 	r.Header.Set(forward.HeaderBackend, "b1")
 	r.Header.Set(forward.HeaderRequestID, "id")
 	forward.SetDeadline(r.Header, hostileDeadline)
-	w = &discardResponse{header: http.Header{}}
 	done := make(chan bool, 1)
 	go func() {
 		defer func() {
@@ -135,7 +143,72 @@
 	case <-time.After(hostileLimit):
 		t.Fatal("the request did not end")
 	}
-	return h, w, aborted
+	return h, aborted
+}
+
+// slowResponse is the response to a caller that reads slowly.
+type slowResponse struct{ discardResponse }
+
+func (w *slowResponse) Write(p []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	return w.discardResponse.Write(p)
+}
+
+// mostLiveBytes returns the largest size of the live memory while f ran.
+func mostLiveBytes(f func()) uint64 {
+	done := make(chan struct{})
+	go func() { defer close(done); f() }()
+	for most := uint64(0); ; {
+		most = max(most, liveBytes())
+		select {
+		case <-done:
+			return max(most, liveBytes())
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func liveBytes() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// Guards against a home that keeps the bytes of a backend server that sends without end, until its
+// memory is used up and the requests of all callers end with it. Not parallel, as it measures memory.
+func TestBytesWithoutEndAreNotKept(t *testing.T) {
+	const most = 16 << 20 // of the 64 MiB that a daemon may use for control; a server sends that in less than the deadline
+	line := strings.Repeat("x", 1<<16)
+	for name, begin := range map[string]string{
+		"status line":      "HTTP/1.1 200 ",
+		"header line":      "HTTP/1.1 200 OK\r\nX-A: ",
+		"chunk extension":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;",
+		"trailer":          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-A: ",
+		"until the close":  "HTTP/1.1 200 OK\r\n\r\n",
+		"body with length": "HTTP/1.1 200 OK\r\nContent-Length: 600000000000\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := 0
+			server := startHostileServer(t, func(w io.Writer) error {
+				_, err := io.WriteString(w, begin)
+				for n := 0; err == nil; sent += n {
+					n, err = io.WriteString(w, line)
+				}
+				return err
+			})
+			before := liveBytes()
+			w := &slowResponse{discardResponse: discardResponse{header: http.Header{}}}
+			after := mostLiveBytes(func() { serveHostileTo(t, server, w) })
+			<-server.closed
+			if after > before+most {
+				t.Errorf("live memory grew by %d bytes while %d were sent, want at most %d", after-before, sent, most)
+			}
+			if w.complete() {
+				t.Errorf("%d bytes were passed on as complete", w.bytes)
+			}
+		})
+	}
 }
 
 // Guards against a backend server that sends bytes without end, in a head or a body, quickly or
