Answer every request that a stopping daemon has read, and hand nothing over late

A report of another operator: requests that came late in the grace of a planned stop were passed on, and cut with no answer.

What callers see here: no request is taken later than 2.65 s after SIGTERM, as connections close then. But one that waits for a slot was handed over up to 2 s after that, with 0.7 s left to run; and whatever still ran after 5.3 s lost its connection with the process, without an answer.

Cause: the entry did not know that its daemon ends, and the drain left open connections to the exit of the process.

Mend: once half of limits.drainStopLimit has passed the entry hands nothing over, and answers 503, not run. At the end of the drain the contexts of callers' requests end with a cause; the entry answers 502, which leaves open whether the request has run, and the drain waits 0.2 s for these answers.

Costs no call and no byte.

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -38,6 +39,12 @@
 	readinessGracePeriod = 2300 * time.Millisecond
 	// exitMargin is the part of limits.drainStopLimit reserved for the exit of the process.
 	exitMargin = 700 * time.Millisecond
+	// handOverShare is the part of limits.drainStopLimit in which requests are handed over to backend
+	// servers. Later ones would often be cut off with the end of the process.
+	handOverShare = 0.5
+	// lastAnswerTime is the time within which requests that still run at the end of a drain get an
+	// error response.
+	lastAnswerTime = 200 * time.Millisecond
 	// restartTime is the usual time from the end of a daemon's home until the next daemon on the VM
 	// serves.
 	restartTime = 2 * time.Second
@@ -64,6 +71,9 @@
 	maxCapacityWait = 2 * time.Second
 )
 
+// errStopped is the cause with which requests end when the daemon has to.
+var errStopped = errors.New("the daemon has to end")
+
 // RegistryOptions are the arguments of NewRegistryDaemon besides the settings.
 type RegistryOptions struct {
 	// Store returns the client of the registry at url. Required.
@@ -110,8 +120,10 @@
 	feedPeers atomic.Pointer[[]feed.Peer]
 	// originService is the service stated as the origin of callers' requests. Reload may change it.
 	originService atomic.Pointer[string]
-	// leaving is set when the drain begins.
-	leaving atomic.Bool
+	// leaving is set when the drain begins, and stopping when no more requests are handed over.
+	leaving, stopping atomic.Bool
+	// endRequests ends the requests of callers. They get an error response.
+	endRequests context.CancelCauseFunc
 	// unknownKinds is the number of routes in force whose kind this version does not know.
 	unknownKinds atomic.Int64
 
@@ -164,7 +176,7 @@
 	d.home = home.New(home.Options{VM: s.VM, Log: log.Part("home"), Seed: seed, Dialect: o.Dialect, Suspicion: &suspect, ReplacementDelay: restartTime, ChargeRetry: d.chargeRetry})
 	d.entry = entry.New(entry.Options{
 		VM: s.VM, Locality: catalog.Locality{DataCentre: s.DataCentre, Region: s.Region}, Snapshot: d.snapshot.Load, Incarnation: seed,
-		Leaving: d.leaving.Load, Transport: forward.NewPeerTransport(forward.PeerOptions{IdleTimeout: peerIdleTimeout, PingAfter: peerPingAfter}), Observer: requestMetrics{d.metrics}, Seed: seed,
+		Leaving: d.leaving.Load, Stopping: d.stopping.Load, Transport: forward.NewPeerTransport(forward.PeerOptions{IdleTimeout: peerIdleTimeout, PingAfter: peerPingAfter}), Observer: requestMetrics{d.metrics}, Seed: seed,
 		Log: log.Part("entry"), Dialect: o.Dialect, OriginService: func() string { return *d.originService.Load() },
 		Retry: registryRetryOptions, Confirm: true, MaxWait: maxCapacityWait, Configured: d.configured, Outdated: d.feed.Outdated,
 		Balance: balance.Options{RegionWide: true, ExcludeAvoided: true, LoadTTL: loadReportTTL, SubsetSize: preferredBackends},
@@ -177,7 +189,10 @@
 // listen opens all configured listeners, or none.
 func (d *RegistryDaemon) listen() error {
 	s := &d.settings
+	requests, endRequests := context.WithCancelCause(context.Background())
+	d.endRequests = endRequests
 	d.callers = &namedServer{name: "callers", server: newCallersServer(s.Limits, closeWhenLeaving(d.leaving.Load, d.entry.Handler()))}
+	d.callers.server.BaseContext = func(net.Listener) context.Context { return requests }
 	d.peer = &namedServer{name: "peer", server: newPeerServer(s.Limits, d.guard.wrap(peerHandler(d.home, http.NotFoundHandler(), d.controlHandler())))}
 	d.ready = &namedServer{name: "ready", server: newAuxiliaryServer(s.Limits, http.HandlerFunc(d.serveReady))}
 	d.admin = &namedServer{name: "admin", server: newAuxiliaryServer(s.Limits, http.HandlerFunc(d.serveMetrics))}
@@ -345,13 +360,17 @@
 
 // drain stops gracefully. It first reports that the daemon is not ready and keeps serving callers
 // until the platform has noticed, then waits for requests in flight within limits.drainStopLimit
-// less exitMargin. No request that was read is left without a response in that time.
+// less exitMargin. No request that was read is left without a response: one that has not been handed
+// over by handOverShare of the limit is refused, and one that still runs in the end gets an error.
 func (d *RegistryDaemon) drain() {
 	log := d.log.Part("daemon")
-	log.Info("The drain begins.", "limit", d.settings.Limits.DrainStopLimit)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.settings.Limits.DrainStopLimit)-exitMargin)
+	limit := time.Duration(d.settings.Limits.DrainStopLimit)
+	log.Info("The drain begins.", "limit", limit)
+	ctx, cancel := context.WithTimeout(context.Background(), limit-exitMargin)
 	defer cancel()
 	d.leaving.Store(true)
+	handOver := time.AfterFunc(time.Duration(handOverShare*float64(limit)), func() { d.stopping.Store(true) })
+	defer handOver.Stop()
 	d.feed.CloseStreams()
 	pause.For(ctx, readinessGracePeriod)
 	// The backend server keeps running while its daemon is replaced, but is unreachable without a
@@ -361,7 +380,13 @@
 	var peerListener sync.WaitGroup
 	peerListener.Go(func() { d.peer.listener.Drain(ctx) })
 	if err := stopServing(ctx, d.callers.listener, d.callers.server); err != nil {
-		log.Warn("The drain stop limit has passed; requests of callers are aborted.", "err", err)
+		log.Warn("The drain stop limit has passed; requests of callers end with an error.", "err", err)
+		d.endRequests(errStopped)
+		answers, stop := context.WithTimeout(context.Background(), lastAnswerTime)
+		defer stop()
+		if err := d.callers.server.Shutdown(answers); err != nil {
+			log.Warn("Requests of callers are aborted without a response.", "err", err)
+		}
 	}
 	if err := <-homeDrained; err != nil {
 		log.Warn("The drain stop limit has passed; requests to backend servers are aborted.", "err", err)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -39,6 +39,8 @@
 	Memory *operation.Memory
 	// Leaving reports whether the daemon is draining. Default: never.
 	Leaving func() bool
+	// Stopping reports whether the daemon ends too soon to hand over further requests. Default: never.
+	Stopping func() bool
 	// Limiter enforces the rate and concurrency limits of contracts. Default: no limits.
 	Limiter Limiter
 	// Observer counts how requests end. Default: none.
@@ -129,6 +131,7 @@
 	operationBodies *operation.UploadBudget
 	heldResponses   holdBudget
 	leaving         func() bool
+	stopping        func() bool
 	limiter         Limiter
 	observer        Observer
 	log             *telemetry.Logger
@@ -156,6 +159,9 @@
 	if o.Leaving == nil {
 		o.Leaving = func() bool { return false }
 	}
+	if o.Stopping == nil {
+		o.Stopping = func() bool { return false }
+	}
 	if o.Outdated == nil {
 		o.Outdated = func() bool { return false }
 	}
@@ -180,7 +186,7 @@
 		vm: o.VM, region: o.Locality.Region, snapshot: o.Snapshot, transport: o.Transport,
 		incarnation: o.Incarnation, memory: o.Memory, operationBodies: operation.NewUploadBudget(maxOperationBodiesBytes),
 		heldResponses: holdBudget{limit: maxHeldBytes},
-		leaving:       o.Leaving, limiter: o.Limiter, observer: o.Observer, log: o.Log, trustedProxies: o.TrustedProxies,
+		leaving:       o.Leaving, stopping: o.Stopping, limiter: o.Limiter, observer: o.Observer, log: o.Log, trustedProxies: o.TrustedProxies,
 		balancer: balance.New(o.Balance),
 		budgets:  retry.NewWith(o.Retry),
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -38,6 +38,9 @@
 	rounds := newRetryRounds(now, deadline, c.route.Goal, e.maxWait)
 	var failures failureRecord
 	for {
+		if e.stopping() {
+			return failures.result(errkind.New(errkind.Draining, "this daemon ends too soon to hand over further requests"))
+		}
 		choice, err := e.balancer.Pick(time.Now(), c.pickRequest(retryState.Excluded(), rounds.insist))
 		if err != nil {
 			rounds.noteRefusal(errkind.Of(err))
