--- a/internal/feed/doc.go
+++ b/internal/feed/doc.go
@@ -10,8 +10,9 @@
 // The configuration can be large, so streams only name its revision. A daemon with an older one
 // fetches what has changed, from whichever daemon has it and has room on its link.
 //
-// While no reader reaches the store, more daemons try, in order and not all at once. A daemon that
-// other daemons follow as a reader reads as well.
+// Each status says how long ago the store last answered a reader. A daemon for which that is too long
+// looks for other readers: more and more daemons try, in order, in steps that depend on this age alone.
+// A daemon that other daemons follow as a reader reads as well.
 //
 // A starting daemon first looks at a part of the store with a cheap read that may be outdated, only
 // to find its peers. It serves once it has the full state from a stream or from a read of its own.
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -112,8 +112,8 @@
 }
 
 // NewReader returns a Reader that passes each update to onUpdate, and calls onStatus when LastContact
-// or StoreAvailable may have changed without one. It starts with the changes after the given revision, or with a full
-// list if that is 0.
+// or StoreAvailable may have changed without one. It starts with the changes after the given
+// revision, or with a full list if that is 0.
 func NewReader(store Store, log *telemetry.Logger, after uint64, onUpdate func(Update), onStatus func()) *Reader {
 	return &Reader{store: store, log: log, after: after, onUpdate: onUpdate, onStatus: onStatus, start: time.Now()}
 }
