--- a/internal/feed/silence_test.go
+++ b/internal/feed/silence_test.go
@@ -192,7 +192,7 @@
 			for _, share := range []float64{0.17, 0.35, 0.36, 1} {
 				silent := min(int(share*float64(size)), size-1)
 				if silent >= 64 {
-					continue // only with bad luck, of less than 1 in 10^17 at a share of 0.55
+					continue // only with bad luck, of less than 1 in 10^16 at a share of 0.55
 				}
 				v := view{complete: true, connected: true}
 				for i := range size {
