--- a/internal/feed/silence_test.go
+++ b/internal/feed/silence_test.go
@@ -147,7 +147,7 @@
 // part of the VMs, those that read it among them. A reader that takes silence for a store without
 // changes kept its whole region waiting.
 func TestChangesArriveWhileTheStoreIsSilentForSome(t *testing.T) {
-	for _, size := range []int{14, 176} {
+	for _, size := range []int{14, 96} {
 		for _, share := range []float64{0.17, 0.35, 0.55, 0.9} {
 			for seed := range uint64(3) {
 				t.Run(fmt.Sprint(size, " drawn ", share, " ", seed), func(t *testing.T) {
@@ -163,7 +163,7 @@
 // those that read the store among them: the times until silence is noticed and until others take over
 // add up, for each VM in turn that is silent too.
 func TestChangesArriveWhileVMsAreCutOff(t *testing.T) {
-	for _, size := range []int{14, 176} {
+	for _, size := range []int{14, 96} {
 		for _, share := range []float64{0.17, 0.35, 0.55, 0.9} {
 			t.Run(fmt.Sprint(size, " first ", share), func(t *testing.T) {
 				t.Parallel()
