Add the settings, error kinds and times to come back that organisations and load need

Cause: quotas over all daemons, a lease on API keys and admission are built side by side, and all need the same settings and error kinds.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -105,15 +105,16 @@
 	// Admit admits one request. It may wait shortly for a part of the limit that another daemon is
 	// about to grant. If it returns nil, Release must be called at the end of the request.
 	Admit(ctx context.Context, c *catalog.Customer) *errkind.Error
-	// Release ends an admitted request of the customer.
-	Release(customer string)
+	// Release ends an admitted request of the customer. mayHaveRun is false if it certainly did not
+	// run.
+	Release(customer string, mayHaveRun bool)
 }
 
 // noopLimiter admits every request.
 type noopLimiter struct{}
 
 func (noopLimiter) Admit(context.Context, *catalog.Customer) *errkind.Error { return nil }
-func (noopLimiter) Release(string)                                          {}
+func (noopLimiter) Release(string, bool)                                    {}
 
 // maxOperationBodiesBytes bounds the total size of the bodies of at-most-once operations held in
 // memory.
@@ -257,12 +258,14 @@
 		e.failRequest(w, err)
 		return
 	}
-	defer e.limiter.Release(c.customer.Name)
+	mayHaveRun := true // handle may panic in the middle of a response
+	defer func() { e.limiter.Release(c.customer.Name, mayHaveRun) }()
 	handle := e.forward
 	if c.route.AtMostOnce {
 		handle = e.serveAtMostOnce
 	}
 	if err := handle(ctx, w, r, c); err != nil {
+		mayHaveRun = errkind.Of(err).Answer().Outcome != errkind.NotRun
 		e.failRequest(w, err)
 	}
 }
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -84,6 +84,11 @@
 	RepeatsLimited
 	// BackendFailed: the backend server ran the request and responded with a failure of its own.
 	BackendFailed
+	// KeysUnconfirmed: the configuration has not been confirmed lately, so the API key of the request
+	// may have been revoked.
+	KeysUnconfirmed
+	// QuotaUnreachable: no daemon that holds a part of the organisation's quota can be reached.
+	QuotaUnreachable
 	kindCount
 )
 
@@ -126,7 +131,8 @@
 	Outcome Outcome
 	// RetryElsewhere is true if another backend server may accept the request.
 	RetryElsewhere bool
-	// RetryAfter is the value of the Retry-After header. Zero means that the header is not sent.
+	// RetryAfter is the value of the Retry-After header unless the error has one of its own. Zero
+	// means that the header is not sent.
 	RetryAfter time.Duration
 }
 
@@ -167,6 +173,8 @@
 	BackendSuspect:      {Name: "backend_suspect", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	RepeatsLimited:      {Name: "repeats_limited", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	BackendFailed:       {Name: "backend_failed", Status: 502, Outcome: Unknown},
+	KeysUnconfirmed:     {Name: "keys_unconfirmed", Status: 503, Outcome: NotRun, RetryAfter: time.Second},
+	QuotaUnreachable:    {Name: "quota_unreachable", Status: 503, Outcome: NotRun, RetryAfter: time.Second},
 }
 
 // Answer returns the response for the kind. An unknown kind gets the response for Internal.
@@ -197,6 +205,9 @@
 	Kind   Kind
 	Detail string
 	Cause  error
+	// RetryAfter replaces the time of the kind's answer after which the caller may come back, unless
+	// it is 0.
+	RetryAfter time.Duration
 }
 
 // New returns an Error without a cause.
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/hex"
 	"net/http"
@@ -179,8 +180,8 @@
 	h.Set("X-Content-Type-Options", "nosniff")
 	h.Set(HeaderOutcome, answer.Outcome.String())
 	h.Set(HeaderErrorKind, answer.Name)
-	if answer.RetryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(answer.RetryAfter.Seconds())))
+	if after := cmp.Or(e.RetryAfter, answer.RetryAfter); after > 0 {
+		h.Set("Retry-After", formatRetryAfter(after))
 	}
 	text := answer.Name
 	if e.Detail != "" {
@@ -192,6 +193,13 @@
 	w.Write([]byte(text)) //nolint:errcheck // it fails only if the caller is gone
 }
 
+// formatRetryAfter returns the value of the Retry-After header. It has a fraction of a second if
+// needed: RFC 9110 only knows whole seconds, but a caller that comes back a second late may miss its
+// deadline.
+func formatRetryAfter(after time.Duration) string {
+	return strconv.FormatFloat(max(after, time.Millisecond).Truncate(time.Millisecond).Seconds(), 'f', -1, 64)
+}
+
 // ErrorFromResponse returns the error that a home daemon reported in its response, or nil if the
 // response came from a backend server. A response without a valid outcome is an error of kind
 // PathBroken.
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -197,6 +197,13 @@
 	checkRange(c, "registry.retryRatio", s.Registry.RetryRatio, 0, 1)
 	c.checkDuration("registry.retryWindow", s.Registry.RetryWindow, time.Second, 10*time.Minute)
 	checkRange(c, "registry.retrySlack", s.Registry.RetrySlack, 0, 1_000_000)
+	c.checkDuration("registry.revocationLimit", s.Registry.RevocationLimit, time.Second, 10*time.Minute)
+	c.checkDuration("registry.quotaWindow", s.Registry.QuotaWindow, time.Second, 10*time.Minute)
+	checkRange(c, "registry.quotaExcess", s.Registry.QuotaExcess, 0, 10)
+	checkRange(c, "registry.quotaSlack", s.Registry.QuotaSlack, 0, 1_000_000)
+	if a := s.Registry.Admission; a != "" && a != AdmissionQueue {
+		c.report("registry.admission", "must be empty or %s, is %q", AdmissionQueue, a)
+	}
 	c.checkForeignName("application.service", s.Application.Service)
 	c.checkAddress("application.address", s.Application.Address)
 	for i, dc := range s.DataCentres {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -65,8 +65,29 @@
 	// RetrySlack is the number of retries that each window allows in addition, over all daemons. It
 	// may have a fraction. Default: 0. Range: 0 to 1000000.
 	RetrySlack float64 `yaml:"retrySlack"`
+	// StrictRevocation refuses requests with an API key while the configuration has not been confirmed
+	// within RevocationLimit, because the key may have been revoked. Default: false.
+	StrictRevocation bool `yaml:"strictRevocation"`
+	// RevocationLimit is the time from the acknowledgement of a configuration without an API key until
+	// requests with the key must be refused. Default: 5s. Range: 1s to 10m.
+	RevocationLimit contract.Duration `yaml:"revocationLimit"`
+	// QuotaWindow is the time over which the quota of an organisation is counted. Default: 5s. Range: 1s
+	// to 10m.
+	QuotaWindow contract.Duration `yaml:"quotaWindow"`
+	// QuotaExcess is the share by which the requests of a window may exceed the quota, over all
+	// daemons, and QuotaSlack the number of requests that they may exceed it by in addition. Default: 0.
+	// Range: 0 to 10 and 0 to 1000000.
+	QuotaExcess float64 `yaml:"quotaExcess"`
+	QuotaSlack  float64 `yaml:"quotaSlack"`
+	// Admission selects who decides how long a request waits for a busy service: AdmissionQueue, or
+	// empty for each request by itself. Default: empty.
+	Admission string `yaml:"admission"`
 }
 
+// AdmissionQueue is the value of Registry.Admission with which the requests of an entry wait in one
+// queue for each service.
+const AdmissionQueue = "queue"
+
 // Application is the backend server of the VM.
 type Application struct {
 	// Service is the service that it belongs to. It is stated as the origin of requests that enter
@@ -147,7 +168,10 @@
 	return Settings{
 		Listen:   Listen{Admin: "127.0.0.1:7002"},
 		Platform: Platform{RequestTimeout: contract.Duration(5 * time.Second)},
-		Registry: Registry{FloorShare: 0.7, RetryRatio: 0.2, RetryWindow: contract.Duration(10 * time.Second)},
+		Registry: Registry{
+			FloorShare: 0.7, RetryRatio: 0.2, RetryWindow: contract.Duration(10 * time.Second),
+			RevocationLimit: contract.Duration(5 * time.Second), QuotaWindow: contract.Duration(5 * time.Second),
+		},
 		Limits: Limits{
 			MaxHeaderBytes:     32 << 10,
 			MaxConnections:     4096,
