Order what the store says by its era, and configurations by their version

Cause: a store that comes back from a copy gives its revisions out again, so daemons ignored what it wrote until the revisions were passed, and could have used draining servers or an older configuration of the copy.

--- a/internal/daemon/registry_limit_test.go
+++ b/internal/daemon/registry_limit_test.go
@@ -23,7 +23,7 @@
 	return nil, 0, errors.New("away")
 }
 
-func (unavailableStore) Probe(context.Context) error { return errors.New("unavailable") }
+func (unavailableStore) Probe(context.Context, uint64) error { return errors.New("unavailable") }
 
 func (unavailableStore) Peek(context.Context) ([]registry.Change, error) {
 	return nil, errors.New("away")
--- a/internal/feed/configuration.go
+++ b/internal/feed/configuration.go
@@ -16,7 +16,9 @@
 // haveParam.
 const ConfigurationPath = Path + "/configuration"
 
-// haveParam is the revision of the configuration that the asking daemon has.
+// haveParam is the version of the configuration that the asking daemon has. Versions order
+// configurations; revisions do not, as a store that came back from a copy may give an older version a
+// higher revision.
 const haveParam = "have"
 
 // maxDeltas bounds the deltas that a daemon keeps. A daemon that has an older configuration gets all
@@ -33,7 +35,7 @@
 )
 
 // configurationMessage carries a configuration: whole, or as deltas one after another from the one
-// of the revision Base.
+// of the version Base.
 type configurationMessage struct {
 	Key      string                         `json:"key"`
 	Revision uint64                         `json:"revision"`
@@ -46,7 +48,7 @@
 func (m *configurationMessage) change(known registry.Change) (registry.Change, error) {
 	c := m.Full
 	if c == nil {
-		if m.Base != known.Revision || known.Configuration == nil || len(m.Deltas) == 0 {
+		if known.Configuration == nil || m.Base != known.Configuration.Version || len(m.Deltas) == 0 {
 			return registry.Change{}, errWrongBase
 		}
 		c = known.Configuration
@@ -68,15 +70,15 @@
 	// sentBytes counts the bytes sent to other daemons, refused the requests that came while there was
 	// too much to send.
 	sentBytes, refused atomic.Uint64
-	// revision is that of the latest configuration, 0 before the first one.
-	revision atomic.Uint64
+	// version is that of the latest configuration, 0 before the first one.
+	version atomic.Uint64
 
 	mu     sync.Mutex
 	latest registry.Change
-	// deltas lead to the latest configuration. bases[i] is the revision at which deltas[i] begins.
+	// deltas lead to the latest configuration. bases[i] is the version at which deltas[i] begins.
 	deltas []*registry.ConfigurationDelta
 	bases  []uint64
-	// encoded maps the revision that a daemon has to the message for it. 0 has the full one.
+	// encoded maps the version that a daemon has to the message for it. 0 has the full one.
 	encoded map[uint64][]byte
 }
 
@@ -85,12 +87,13 @@
 func (c *configurations) add(change registry.Change, withDelta bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if change.Revision <= c.latest.Revision {
+	version := change.Configuration.Version
+	if version <= c.version.Load() {
 		return
 	}
 	if withDelta && c.latest.Configuration != nil {
 		c.deltas = append(c.deltas, registry.DiffConfigurations(c.latest.Configuration, change.Configuration))
-		c.bases = append(c.bases, c.latest.Revision)
+		c.bases = append(c.bases, c.latest.Configuration.Version)
 		if excess := len(c.deltas) - maxDeltas; excess > 0 {
 			c.deltas, c.bases = c.deltas[excess:], c.bases[excess:]
 		}
@@ -98,7 +101,7 @@
 		c.deltas, c.bases = nil, nil
 	}
 	c.latest, c.encoded = change, map[uint64][]byte{}
-	c.revision.Store(change.Revision)
+	c.version.Store(version)
 }
 
 func (c *configurations) known() registry.Change {
@@ -107,12 +110,12 @@
 	return c.latest
 }
 
-// message returns the encoded message for a daemon that has the configuration of a revision, 0 for
+// message returns the encoded message for a daemon that has the configuration of a version, 0 for
 // none. It is encoded once for all daemons that have the same.
 func (c *configurations) message(have uint64) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.latest.Revision <= have {
+	if c.version.Load() <= have {
 		return nil, errNothingNewer
 	}
 	m := configurationMessage{Key: c.latest.Key, Revision: c.latest.Revision}
@@ -132,7 +135,7 @@
 	return data, err
 }
 
-// deltasFrom returns the deltas from a revision to the latest configuration, or nil if there are
+// deltasFrom returns the deltas from a version to the latest configuration, or nil if there are
 // none or they are larger than the configuration. The caller holds mu.
 func (c *configurations) deltasFrom(have uint64) []*registry.ConfigurationDelta {
 	for i, base := range c.bases {
--- a/internal/feed/configuration_test.go
+++ b/internal/feed/configuration_test.go
@@ -168,7 +168,7 @@
 
 func (s receivingStore) Peek(context.Context) ([]registry.Change, error) { return nil, nil }
 
-func (s receivingStore) Probe(context.Context) error { return nil }
+func (s receivingStore) Probe(context.Context, uint64) error { return nil }
 
 func (s receivingStore) Watch(ctx context.Context, _ uint64, _ time.Duration, progress func()) ([]registry.Change, uint64, error) {
 	for pause.For(ctx, partInterval) {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -28,6 +28,9 @@
 	watchers map[string]int
 	// oldest is the revision below which the history is no longer available.
 	oldest uint64
+	// copied is the content at the time of the last copy, with its revision.
+	copied         []registry.Change
+	copiedRevision uint64
 }
 
 func newMemoryStore() *memoryStore {
@@ -59,10 +62,34 @@
 	s.changed = make(chan struct{})
 }
 
+// copy keeps the present content for a later restore.
+func (s *memoryStore) copy() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.copied, s.copiedRevision = slices.Clone(s.changes), s.revision
+}
+
+// restore makes the store come back from its copy, in the next era.
+func (s *memoryStore) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	inNextEra := func(revision uint64) uint64 {
+		next, _ := registry.MakeRevision(registry.EraOf(s.revision)+1, registry.StoreRevisionOf(revision))
+		return next
+	}
+	s.changes = slices.Clone(s.copied)
+	for i := range s.changes {
+		s.changes[i].Revision = inNextEra(s.changes[i].Revision)
+	}
+	s.revision = inNextEra(s.copiedRevision)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *memoryStore) gone(revision uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return revision < s.oldest
+	return revision < s.oldest || registry.EraOf(revision) != registry.EraOf(s.revision)
 }
 
 func (s *memoryStore) after(revision uint64) ([]registry.Change, uint64, chan struct{}) {
@@ -93,7 +120,14 @@
 	return slices.DeleteFunc(changes, func(c registry.Change) bool { return c.Configuration != nil }), err
 }
 
-func (v daemonStore) Probe(context.Context) error { return nil }
+func (v daemonStore) Probe(_ context.Context, revision uint64) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if revision != 0 && registry.EraOf(revision) < registry.EraOf(v.revision) {
+		return registry.ErrHistoryGone
+	}
+	return nil
+}
 
 func (v daemonStore) Watch(ctx context.Context, after uint64, wait time.Duration, progress func()) ([]registry.Change, uint64, error) {
 	v.addWatchers(1)
--- a/internal/feed/fetch.go
+++ b/internal/feed/fetch.go
@@ -74,7 +74,7 @@
 }
 
 // behind reports whether another daemon has announced a newer configuration than this one has.
-func (s *Source) behind() bool { return s.announced.Load() > s.configurations.revision.Load() }
+func (s *Source) behind() bool { return s.announced.Load() > s.configurations.version.Load() }
 
 // noteFetchFailure has others asked before the source for some time, unless it is only busy or has
 // nothing newer. Further failures in that time are counted, but not logged.
@@ -98,7 +98,7 @@
 func (s *Source) configurationSources(now time.Time) []Peer {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	have := s.configurations.revision.Load()
+	have := s.configurations.version.Load()
 	var sources []Peer
 	for _, st := range s.streams {
 		if st.configuration.Load() > have {
@@ -137,7 +137,7 @@
 func (s *Source) fetchConfiguration(ctx context.Context, source Peer) error {
 	known := s.configurations.known()
 	begin := time.Now()
-	m, size, err := s.requestConfiguration(ctx, source, known.Revision)
+	m, size, err := s.requestConfiguration(ctx, source, s.configurations.version.Load())
 	if err != nil {
 		return err
 	}
@@ -152,7 +152,7 @@
 		}
 	}
 	s.apply(registry.Update{Changes: []registry.Change{change}})
-	s.options.Log.Info("A configuration was fetched from another daemon.", "vm", source.VM, "revision", change.Revision, "base", m.Base, "bytes", size, "took", time.Since(begin))
+	s.options.Log.Info("A configuration was fetched from another daemon.", "vm", source.VM, "version", change.Configuration.Version, "base", m.Base, "bytes", size, "took", time.Since(begin))
 	s.repeatStatuses()
 	return nil
 }
@@ -173,7 +173,7 @@
 	}
 }
 
-// requestConfiguration asks another daemon for what is newer than the configuration of a revision.
+// requestConfiguration asks another daemon for what is newer than the configuration of a version.
 // It also returns the size of the message.
 func (s *Source) requestConfiguration(ctx context.Context, source Peer, have uint64) (m configurationMessage, size int64, err error) {
 	ctx, stop := context.WithTimeout(ctx, frameTimeout)
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -15,7 +15,7 @@
 
 // Path is the path of the stream at the peer listener. The query may hold afterParam and
 // readerParam.
-const Path = "/cowslip.feed/3"
+const Path = "/cowslip.feed/4"
 
 const (
 	// afterParam is the revision up to which the follower has the full state. Without it, the
@@ -80,7 +80,7 @@
 type status struct {
 	// Revision is the store revision up to which the sender has all registrations.
 	Revision uint64 `json:"revision"`
-	// Configuration is the revision of the sender's configuration, 0 if it has none. It is the latest
+	// Configuration is the version of the sender's configuration, 0 if it has none. It is the latest
 	// one up to the revision ConfiguredUpTo.
 	Configuration  uint64 `json:"configuration,omitempty"`
 	ConfiguredUpTo uint64 `json:"configuredUpTo,omitempty"`
--- a/internal/feed/region_test.go
+++ b/internal/feed/region_test.go
@@ -283,9 +283,12 @@
 	return changes[:min(len(changes), regionPageItems)], err
 }
 
-func (s regionStore) Probe(ctx context.Context) error {
+func (s regionStore) Probe(ctx context.Context, revision uint64) error {
 	s.region.probes.Add(1)
-	return s.roundTrips(ctx, 1)
+	if err := s.roundTrips(ctx, 1); err != nil {
+		return err
+	}
+	return s.daemonStore.Probe(ctx, revision)
 }
 
 func (s regionStore) Watch(ctx context.Context, after uint64, wait time.Duration, progress func()) ([]registry.Change, uint64, error) {
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -69,7 +69,7 @@
 	// configuredRevision that up to which its configuration is the latest one.
 	completeRevision, configuredRevision atomic.Uint64
 	configurations                       configurations
-	// announced is the highest revision of a configuration that another daemon has. fetchDue wakes the
+	// announced is the highest version of a configuration that another daemon has. fetchDue wakes the
 	// goroutine that fetches it.
 	announced atomic.Uint64
 	fetchDue  chan struct{}
--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -22,7 +22,7 @@
 		Reading: s.storeAvailable(), Complete: s.fresh.Load(), AgeMs: s.Age().Milliseconds(), StoreAgeMs: s.storeAge().Milliseconds(),
 	}
 	// A configuration is added before configuredRevision rises, so it is read after it.
-	out.Configuration = s.configurations.revision.Load()
+	out.Configuration = s.configurations.version.Load()
 	return out
 }
 
@@ -99,9 +99,9 @@
 
 // noteAnnouncement notes the configuration that another daemon has, and has it fetched if it is
 // newer than that of this daemon.
-func (s *Source) noteAnnouncement(st *stream, revision uint64) {
-	st.configuration.Store(revision)
-	raise(&s.announced, revision)
+func (s *Source) noteAnnouncement(st *stream, version uint64) {
+	st.configuration.Store(version)
+	raise(&s.announced, version)
 	if !s.behind() {
 		return
 	}
@@ -114,7 +114,7 @@
 // handleStatus takes what a daemon says whose registrations this one has. It does not count as fresh
 // before this one has the daemon's configuration too.
 func (s *Source) handleStatus(r *receivedStatus) {
-	configured := s.configurations.revision.Load() >= r.Configuration
+	configured := s.configurations.version.Load() >= r.Configuration
 	age := r.age() + s.elapsed() - time.Duration(r.at)
 	s.apply(registry.Update{Revision: r.Revision, Fresh: configured && r.Complete && age < storeTimeout})
 	if configured {
@@ -213,12 +213,12 @@
 // addConfigurations keeps the configurations among applied changes for other daemons, and reports
 // whether there was a newer one.
 func (s *Source) addConfigurations(changes []registry.Change) bool {
-	before := s.configurations.revision.Load()
+	before := s.configurations.version.Load()
 	followers, _ := s.hub.count()
 	for i := range changes {
 		if changes[i].Configuration != nil {
 			s.configurations.add(changes[i], followers > 0)
 		}
 	}
-	return s.configurations.revision.Load() > before
+	return s.configurations.version.Load() > before
 }
--- a/internal/feed/stream.go
+++ b/internal/feed/stream.go
@@ -27,7 +27,7 @@
 	// lastFrame is the time of the last frame in nanoseconds since the start of the Source. 0 means
 	// never.
 	lastFrame atomic.Int64
-	// configuration is the revision of the latest configuration that the peer has announced.
+	// configuration is the version of the latest configuration that the peer has announced.
 	configuration atomic.Uint64
 	// status is the latest status since the daemon has the peer's full state, nil before.
 	status atomic.Pointer[receivedStatus]
--- a/internal/registry/entry.go
+++ b/internal/registry/entry.go
@@ -44,6 +44,8 @@
 	// it became known.
 	removedRevision uint64
 	removedAt       time.Time
+	// leftStart is the latest start of an incarnation that has left, or 0.
+	leftStart int64
 	// held is the registration that was removed during a hold, nil if there is none. heldRevision is
 	// that of its last write.
 	held         *Registration
@@ -59,9 +61,14 @@
 	return write{revision: e.heldRevision, registration: e.held}
 }
 
-// add adds a write and reports whether it was new.
-func (e *entry) add(w write) bool {
+// add adds a write and reports whether it was new. A restored write is one that a store may have
+// from the copy that it came back from.
+func (e *entry) add(w write, restored bool) bool {
 	obsolete := w.revision <= max(e.removedRevision, e.overruledRevision)
+	if restored && e.supersededBeforeEra(w) {
+		return false
+	}
+	w.registration = e.keepDraining(w)
 	if obsolete || slices.ContainsFunc(e.writes, func(known write) bool { return known.replaces(w) }) {
 		return false
 	}
@@ -70,6 +77,9 @@
 			w.since = known.since
 		}
 	}
+	if before := e.inUse().registration; before != nil && before.Started < w.registration.Started {
+		e.noteLeft(before)
+	}
 	e.writes = slices.DeleteFunc(e.writes, w.replaces)
 	e.writes = append(e.writes, w)
 	slices.SortFunc(e.writes, func(a, b write) int { return cmp.Compare(b.registration.Started, a.registration.Started) })
@@ -77,6 +87,32 @@
 	return true
 }
 
+// supersededBeforeEra reports whether the incarnation of a write was removed, or followed by a later
+// one, in an earlier era than that of the write. The copy that the store came back from still has it.
+func (e *entry) supersededBeforeEra(w write) bool {
+	era := EraOf(w.revision)
+	if e.removedRevision > 0 && EraOf(e.removedRevision) < era && w.registration.Started <= e.leftStart {
+		return true
+	}
+	return slices.ContainsFunc(e.writes, func(known write) bool {
+		return EraOf(known.revision) < era && known.registration.Started > w.registration.Started
+	})
+}
+
+// keepDraining returns the registration of a write. It is draining if its incarnation was so in an
+// earlier era: a copy of the store may be older than the begin of the drain, which is never taken back.
+func (e *entry) keepDraining(w write) *Registration {
+	wasDraining := slices.ContainsFunc(e.writes, func(known write) bool {
+		return known.registration.Draining && known.registration.Started == w.registration.Started && EraOf(known.revision) < EraOf(w.revision)
+	})
+	if !wasDraining || w.registration.Draining {
+		return w.registration
+	}
+	kept := *w.registration
+	kept.Draining = true
+	return &kept
+}
+
 // overrule ends the writes with a later start than one of a higher revision that has stood for
 // incarnationGrace, and reports whether there were any.
 func (e *entry) overrule(now time.Time) bool {
@@ -99,9 +135,27 @@
 	before := e.inUse()
 	e.removedRevision, e.removedAt = revision, now
 	e.writes = slices.DeleteFunc(e.writes, func(w write) bool { return w.revision <= revision })
-	if len(e.writes) == 0 && before.registration != nil && !before.registration.Draining && now.Before(holdUntil) {
+	if len(e.writes) > 0 || before.registration == nil {
+		return true
+	}
+	if !before.registration.Draining && now.Before(holdUntil) {
 		e.held, e.heldRevision, e.heldUntil = before.registration, before.revision, holdUntil
+	} else {
+		e.noteLeft(before.registration)
+	}
+	return true
+}
+
+// noteLeft records that an incarnation has left.
+func (e *entry) noteLeft(r *Registration) { e.leftStart = max(e.leftStart, r.Started) }
+
+// endHold ends the hold of a registration whose time is over, and reports whether there was one.
+func (e *entry) endHold(now time.Time) bool {
+	if e.held == nil || now.Before(e.heldUntil) {
+		return false
 	}
+	e.noteLeft(e.held)
+	e.held = nil
 	return true
 }
 
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -15,7 +15,8 @@
 )
 
 // ErrHistoryGone is returned by Store.Watch when the changes after the revision are no longer
-// available. The caller must list the store again.
+// available, and by Store.Watch and Store.Probe when the store has come back from a copy and is in a
+// later era than the revision. The caller must list the store again.
 var ErrHistoryGone = errors.New("changes after the requested store revision are no longer available")
 
 // errStalled is the cause for which a call ends whose response makes no progress.
@@ -36,8 +37,8 @@
 	// outdated, which costs the store less.
 	Peek(ctx context.Context) ([]Change, error)
 	// Probe makes the cheapest call that shows whether the store answers. It says nothing about the
-	// content.
-	Probe(ctx context.Context) error
+	// content, but returns ErrHistoryGone if the store is in a later era than the revision.
+	Probe(ctx context.Context, revision uint64) error
 	// Watch returns the changes after a revision as soon as there are any, or none once wait has
 	// passed. It also returns the revision from which the next watch continues. It calls progress
 	// whenever a part of the response arrives.
@@ -147,12 +148,12 @@
 // Run reads until ctx ends: a full list first unless NewReader got a revision, then the changes.
 // After ErrHistoryGone it lists again; after other errors it retries with backoff.
 func (r *Reader) Run(ctx context.Context) {
-	state := readerState{lastResponse: time.Now(), revision: r.after}
+	state := readerState{lastResponse: time.Now(), revision: r.after, era: EraOf(r.after), known: r.after != 0}
 	state.unconfirmed = r.after != 0
 	for ctx.Err() == nil {
 		err := recovery.Call(func() error {
 			if state.unconfirmed {
-				if err := r.probe(ctx); err != nil {
+				if err := r.probe(ctx, state.revision); err != nil {
 					return err
 				}
 			}
@@ -164,7 +165,7 @@
 		switch {
 		case err == nil:
 		case errors.Is(err, ErrHistoryGone):
-			r.log.Info("The store no longer has the changes after this revision; reading a full list.", "revision", state.revision)
+			r.log.Info("The store no longer has the changes after this revision; reading a full list.", "era", EraOf(state.revision), "revision", StoreRevisionOf(state.revision))
 			state.revision = 0
 		default:
 			r.handleFailure(ctx, &state, err)
@@ -175,6 +176,9 @@
 type readerState struct {
 	// revision is where the next watch continues. 0 means that a list is needed.
 	revision uint64
+	// era is the latest known era of the store. known is set once there is one.
+	era   uint64
+	known bool
 	// lastResponse is the time of the latest successful call.
 	lastResponse        time.Time
 	consecutiveFailures int
@@ -211,7 +215,8 @@
 	if s.unconfirmed {
 		wait = 0
 	} else {
-		probes.Go(func() { r.probeDuringWatch(callCtx, w) })
+		revision := s.revision
+		probes.Go(func() { r.probeDuringWatch(callCtx, w, revision) })
 	}
 	begin := time.Now()
 	changes, revision, err := r.store.Watch(callCtx, s.revision, wait, func() {
@@ -240,11 +245,16 @@
 	return a
 }
 
-// probeDuringWatch probes the store until ctx ends or a response arrives. It ends the watch if the
-// store does not answer: a store that is silent cannot be told from one without changes otherwise.
-func (r *Reader) probeDuringWatch(ctx context.Context, w *watchdog) {
+// probeDuringWatch probes the store until ctx ends or a response arrives. It ends the watch from a
+// revision if the store does not answer, as a store that is silent cannot be told from one without
+// changes otherwise, or if the store is in a later era.
+func (r *Reader) probeDuringWatch(ctx context.Context, w *watchdog, revision uint64) {
 	for pause.For(ctx, probeInterval) && !r.receiving.Load() {
-		err := r.probe(ctx)
+		err := r.probe(ctx, revision)
+		if errors.Is(err, ErrHistoryGone) {
+			w.cancel(err)
+			return
+		}
 		if err != nil && !r.receiving.Load() {
 			w.cancel(fmt.Errorf("%w: %w", errNoContact, err)) // no effect once the watch has ended
 			return
@@ -256,11 +266,11 @@
 }
 
 // probe makes one cheap call to the store.
-func (r *Reader) probe(ctx context.Context) error {
+func (r *Reader) probe(ctx context.Context, revision uint64) error {
 	ctx, cancel := context.WithTimeoutCause(ctx, probeTimeout, errStalled)
 	defer cancel()
 	begin := time.Now()
-	err := recovery.Call(func() error { return r.store.Probe(ctx) })
+	err := recovery.Call(func() error { return r.store.Probe(ctx, revision) })
 	if err != nil {
 		return cmp.Or(context.Cause(ctx), err)
 	}
@@ -273,6 +283,7 @@
 	if s.consecutiveFailures > 0 && now.Sub(s.lastResponse) > outageThreshold {
 		u.RemovalHold = removalHold
 	}
+	r.noteEra(s, &u)
 	if s.consecutiveFailures > 0 {
 		r.log.Info("The store is available again.", "revision", u.Revision, "away", now.Sub(s.lastResponse), "failures", s.consecutiveFailures)
 	}
@@ -288,6 +299,17 @@
 	}
 }
 
+// noteEra notices that the store has come back from a copy. What backend servers wrote after the copy
+// was made is lost until they write it again, so removals are held.
+func (r *Reader) noteEra(s *readerState, u *Update) {
+	era := EraOf(u.Revision)
+	if s.known && era > s.era {
+		u.RemovalHold = removalHold
+		r.log.Warn("The store came back from a copy that may lack its latest changes.", "era", era, "before", s.era, "revision", StoreRevisionOf(u.Revision))
+	}
+	s.era, s.known = max(s.era, era), true
+}
+
 func (r *Reader) handleFailure(ctx context.Context, s *readerState, err error) {
 	if ctx.Err() != nil {
 		return
--- a/internal/registry/reader_test.go
+++ b/internal/registry/reader_test.go
@@ -31,7 +31,7 @@
 }
 
 // Probe always succeeds, so only lists and watches show faults.
-func (s *scriptedStore) Probe(context.Context) error { return nil }
+func (s *scriptedStore) Probe(context.Context, uint64) error { return nil }
 
 func (s *scriptedStore) Watch(ctx context.Context, after uint64, wait time.Duration, progress func()) ([]Change, uint64, error) {
 	s.calls++
@@ -131,7 +131,7 @@
 	probes atomic.Int64
 }
 
-func (s *mutableStore) Probe(ctx context.Context) error {
+func (s *mutableStore) Probe(ctx context.Context, _ uint64) error {
 	s.probes.Add(1)
 	if s.silent.Load() {
 		<-ctx.Done()
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -25,6 +25,9 @@
 	order []string
 	// completeRevision is the revision of the store up to which the table has all changes.
 	completeRevision uint64
+	// restoredRevision is the revision of the first full list of the present era. Writes of this era
+	// up to it may come from the copy with which the era began.
+	restoredRevision uint64
 	// expireAt is the earliest time at which Expire has something to do, zero if there is none.
 	expireAt time.Time
 	// holdUntil is the end of the hold: until then, removed registrations may be about to return.
@@ -87,11 +90,7 @@
 
 func (t *Table) apply(now time.Time, c *Change) bool {
 	if c.Configuration != nil {
-		if c.Revision <= t.configurationRevision {
-			return false
-		}
-		t.configuration, t.configurationRevision, t.configurationKey = c.Configuration, c.Revision, c.Key
-		return true
+		return t.applyConfiguration(c)
 	}
 	if c.Registration == nil && !c.Removed && c.Fault == "" {
 		return false
@@ -106,13 +105,27 @@
 		t.order = nil
 	}
 	if c.Registration != nil {
-		isNew := e.add(write{c.Revision, c.Registration, now})
+		isNew := e.add(write{c.Revision, c.Registration, now}, c.Revision <= t.restoredRevision)
 		t.expireBy(e.nextExpiry())
 		return isNew
 	}
 	return t.remove(now, e, c.Revision)
 }
 
+// applyConfiguration takes a configuration of a later version. The revision does not order
+// configurations: a store that came back from a copy may give an older version a higher revision.
+func (t *Table) applyConfiguration(c *Change) bool {
+	if t.configuration != nil && c.Configuration.Version <= t.configuration.Version {
+		if c.Configuration.Version == t.configuration.Version {
+			t.configurationRevision = max(t.configurationRevision, c.Revision)
+		}
+		return false
+	}
+	t.configuration, t.configurationKey = c.Configuration, c.Key
+	t.configurationRevision = max(t.configurationRevision, c.Revision)
+	return true
+}
+
 // remove ends the writes of an entry up to the revision, and reports whether that was new.
 func (t *Table) remove(now time.Time, e *entry, revision uint64) bool {
 	if !e.remove(now, revision, t.holdUntil) {
@@ -133,6 +146,9 @@
 // changed anything. Registrations that the list lacks are removed, unless they are newer than the
 // revision.
 func (t *Table) Replace(now time.Time, revision uint64, changes []Change) bool {
+	if EraOf(revision) > EraOf(t.restoredRevision) {
+		t.restoredRevision = revision
+	}
 	changed := t.Apply(now, changes)
 	present := make(map[string]bool, len(changes))
 	for i := range changes {
@@ -156,10 +172,7 @@
 	changed := false
 	t.expireAt = time.Time{}
 	for key, e := range t.entries {
-		if e.held != nil && !now.Before(e.heldUntil) {
-			e.held = nil
-			changed = true
-		}
+		changed = e.endHold(now) || changed
 		changed = e.overrule(now) || changed
 		if e.inUse().registration == nil && !e.removedAt.IsZero() && !now.Before(e.removedAt.Add(tombstoneTTL)) {
 			delete(t.entries, key)
