Start the daemon of the test of eras from the set that is known at its begin

Cause: the test added a daemon to the map of its region while others read it, which the race detector reports. Change: the daemon that starts in a later era is one of the set, and runs later.

--- a/internal/feed/era_test.go
+++ b/internal/feed/era_test.go
@@ -16,6 +16,9 @@
 	for _, size := range []int{14, 112} {
 		synctest.Test(t, func(t *testing.T) {
 			r := newRegion(size)
+			const late = "vm9000" // starts in a later era
+			r.add(late)
+			r.nodes[late].cutOff.Store(true)
 			r.registerAll()
 			version := uint64(0)
 			publish := func(n int) {
@@ -41,7 +44,8 @@
 			r.store.restore()
 			for range 30 {
 				time.Sleep(100 * time.Millisecond)
-				for vm, n := range r.nodes {
+				for _, vm := range r.names {
+					n := r.nodes[vm]
 					if got := n.configurationVersion(); got < latest {
 						t.Fatalf("%s went back to version %d from %d", vm, got, latest)
 					}
@@ -54,11 +58,10 @@
 			r.change(t, "vm9990", changeBound)
 			inForce("the configuration at the daemon that was cut off")
 
-			restarted := r.names[0] // a reader
-			r.nodes[restarted].kill()
-			r.add(restarted)
+			r.nodes[r.names[0]].kill() // a reader
 			r.store.restore()
-			r.nodes[restarted].start()
+			r.nodes[late].cutOff.Store(false)
+			r.nodes[late].start()
 			publish(1)
 			inForce("a configuration beside a daemon that starts")
 			r.stopAll()
