Identify callers by the keys of organisations

Deployments with a registry had one customer, named operator, and no way to tell callers apart. Their operator now lists organisations with keys, priorities and limits.

The adapter decodes the list into digests of the keys. An entry of the list that cannot be used leaves the rest of the configuration in force, and the fact that there are organisations. The catalog has one customer per organisation, all with the same routes, and finds it by the digest of a key. The entry asks for a key on each route that is not anonymous, and checks it again before each hand-over if the organisations have changed since. Credentials are removed from what goes to other daemons and to backend servers, which get the name of the organisation. The delta between two configurations carries only the organisations that differ.

Retry budgets stay those of the one customer: a budget per organisation would have multiplied the bursts that the daemons share out.

--- a/internal/catalog/resolved.go
+++ b/internal/catalog/resolved.go
@@ -16,6 +16,8 @@
 	VMs       []*VM
 	// Hosts are the customers of callers without an API key, by the host name of the request.
 	Hosts map[string]*Customer
+	// Organisations are nil if callers are not identified by keys of organisations.
+	Organisations *Organisations
 }
 
 // NewResolvedSnapshot returns the snapshot of a resolved configuration. The snapshot keeps the
@@ -25,7 +27,7 @@
 	for _, c := range resolved.Customers {
 		edit.customers.put(hashOf(c.Name), 0, c, compareByName)
 	}
-	s := &Snapshot{services: make(map[string]*Service, len(resolved.Services)), vms: make(map[string]*VM, len(resolved.VMs)), hosts: resolved.Hosts}
+	s := &Snapshot{services: make(map[string]*Service, len(resolved.Services)), vms: make(map[string]*VM, len(resolved.VMs)), hosts: resolved.Hosts, organisations: resolved.Organisations}
 	for _, svc := range resolved.Services {
 		s.services[svc.Name] = svc
 		for _, b := range svc.BackendServers {
--- a/internal/catalog/snapshot.go
+++ b/internal/catalog/snapshot.go
@@ -19,6 +19,8 @@
 	conflicts []Conflict
 	// hosts maps host names to customers. It is nil when callers are identified by API keys.
 	hosts map[string]*Customer
+	// organisations is nil if the configuration has none.
+	organisations *Organisations
 }
 
 // Conflict is an identifier that two documents claim. It belongs to the document that claimed it at
@@ -47,6 +49,9 @@
 
 // CustomerByKey returns the customer that the API key identifies, or nil.
 func (s *Snapshot) CustomerByKey(digest KeyDigest) *Customer {
+	if s.organisations != nil {
+		return s.organisations.ByKey(digest)
+	}
 	hash := digest.hash()
 	for _, e := range s.keys.bucket(hash) {
 		if e.hash == hash && e.value.hasKey(&digest) {
--- a/internal/catalog/types.go
+++ b/internal/catalog/types.go
@@ -2,7 +2,9 @@
 
 import (
 	"crypto/sha256"
+	"encoding/base64"
 	"encoding/hex"
+	"errors"
 	"math"
 	"slices"
 	"strings"
@@ -32,6 +34,30 @@
 // Hex returns the digest in lower-case hex, as contracts list it.
 func (d KeyDigest) Hex() string { return hex.EncodeToString(d[:]) }
 
+// errDigestText is returned for a text that is not the digest of a key.
+var errDigestText = errors.New("not the base64 text of a SHA-256 digest")
+
+// MarshalText implements encoding.TextMarshaler. Daemons send each other many digests, and base64 is
+// shorter than hex.
+func (d KeyDigest) MarshalText() ([]byte, error) {
+	return base64.RawStdEncoding.AppendEncode(nil, d[:]), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *KeyDigest) UnmarshalText(text []byte) error {
+	// Decode writes up to 2 bytes more than a digest has for a text of the right length.
+	var decoded [sha256.Size + 2]byte
+	if len(text) != base64.RawStdEncoding.EncodedLen(len(d)) {
+		return errDigestText
+	}
+	n, err := base64.RawStdEncoding.Decode(decoded[:], text)
+	if err != nil || n != len(d) {
+		return errDigestText
+	}
+	copy(d[:], decoded[:])
+	return nil
+}
+
 // Locality is where a VM is. Both fields are empty for an unknown VM. Region is empty if the data
 // centre is unknown.
 type Locality struct {
@@ -89,6 +115,14 @@
 	Priority int
 	// SpillToOtherRegion allows requests to go to the other region when their own has no capacity.
 	SpillToOtherRegion bool
+	// Organisation is true for an organisation of a resolved configuration. Its limits are those of the
+	// organisation, and all organisations share Routes.
+	Organisation bool
+	// Rank is the urgency of an organisation, which takes precedence over the priority of the route. 0
+	// is the most urgent.
+	Rank int
+	// LimitsUnknown means that the limits of the organisation cannot be read. Its requests are refused.
+	LimitsUnknown bool
 
 	keys []KeyDigest
 }
@@ -123,6 +157,8 @@
 	LargeResponses bool
 	// Goal is the time within which a response has its full value for the caller. 0 means unknown.
 	Goal time.Duration
+	// Anonymous means that a request belongs to no organisation, whatever key it carries.
+	Anonymous bool
 }
 
 // FloorCount returns percent of total, rounded up to whole backend servers.
--- a/internal/dialect/cowslip.go
+++ b/internal/dialect/cowslip.go
@@ -1,8 +1,10 @@
 package dialect
 
 import (
+	"cmp"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
@@ -15,13 +17,26 @@
 // ParseCaller implements Dialect. It ignores request ids of callers: the entry generates one for
 // each request.
 func (Cowslip) ParseCaller(h http.Header) Caller {
-	ms, err := strconv.ParseInt(h.Get(forward.HeaderCallerTimeout), 10, 32)
-	if err != nil || ms <= 0 {
-		return Caller{}
+	c := Caller{APIKey: bearerToken(h)}
+	if ms, err := strconv.ParseInt(h.Get(forward.HeaderCallerTimeout), 10, 32); err == nil && ms > 0 {
+		c.Timeout = time.Duration(ms) * time.Millisecond
 	}
-	return Caller{Timeout: time.Duration(ms) * time.Millisecond}
+	return c
 }
 
+// bearerToken returns the bearer token of the request, or "".
+func bearerToken(h http.Header) string {
+	scheme, token, _ := strings.Cut(h.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// RemoveCredentials implements Dialect. The name of the customer is a header of the daemons, which
+// callers cannot set.
+func (Cowslip) RemoveCredentials(h http.Header) { h.Del("Authorization") }
+
 // SetRequestHeaders implements Dialect.
 func (Cowslip) SetRequestHeaders(h http.Header, r Request) {
 	if r.Remaining > 0 {
@@ -30,8 +45,8 @@
 	if r.ID != "" {
 		h.Set(forward.HeaderRequestID, r.ID)
 	}
-	if r.Customer != "" {
-		h.Set(forward.HeaderCustomer, r.Customer)
+	if customer := cmp.Or(r.Organisation, r.Customer); customer != "" {
+		h.Set(forward.HeaderCustomer, customer)
 	}
 }
 
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -13,6 +13,8 @@
 	ID string
 	// Customer is the name of the customer whose contract applies.
 	Customer string
+	// Organisation is the name of the organisation that the request belongs to, or empty for none.
+	Organisation string
 	// Backend is the id of the backend server that the request is for.
 	Backend string
 	// OriginService is the service on the VM where the request entered the fleet. It is empty if
@@ -28,6 +30,9 @@
 	ID string
 	// Timeout is how long the caller waits. It is 0 if the caller does not say.
 	Timeout time.Duration
+	// APIKey is the key with which the caller identifies itself. It is empty if the caller sent none,
+	// or several.
+	APIKey string
 }
 
 // Dialect translates between the request path and the headers of a deployment. Implementations keep
@@ -35,6 +40,10 @@
 type Dialect interface {
 	// ParseCaller reads what the caller states from the headers of its request.
 	ParseCaller(h http.Header) Caller
+	// RemoveCredentials removes the key of the caller, and what backend servers may take for the name of
+	// its organisation. It is called for requests to other daemons and to backend servers, in
+	// deployments whose callers are identified by keys.
+	RemoveCredentials(h http.Header)
 	// SetRequestHeaders sets the headers for the backend server and removes those that callers must
 	// not set.
 	SetRequestHeaders(h http.Header, r Request)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/balance"
@@ -210,21 +209,19 @@
 	})
 }
 
-// priority returns the priority of the request: that of the route, or else that of the customer.
-func (c *call) priority() int {
-	if c.route.Priority != nil {
-		return *c.route.Priority
-	}
-	return c.customer.Priority
-}
-
 // call is one request of a caller with the parts of the contract that apply to it.
 type call struct {
 	// id is the request id.
-	id       string
-	customer *catalog.Customer
-	route    *catalog.Route
-	service  *catalog.Service
+	id string
+	// base is the customer whose contract has the route, and whose retry budget pays. customer is the
+	// organisation, or base if there is none.
+	base, customer *catalog.Customer
+	route          *catalog.Route
+	service        *catalog.Service
+	// key identified the organisation in organisations, which are those of the configuration at the
+	// latest check. They are nil if the configuration had none.
+	key           catalog.KeyDigest
+	organisations *catalog.Organisations
 	// repeatable is true if the route allows another try although an earlier one may have run.
 	repeatable bool
 	body       *upload
@@ -242,7 +239,7 @@
 	}
 	w.Header().Set(forward.HeaderRequestID, id)
 	e.startWaiter.wait(r.Context(), caller.Timeout)
-	c, err := e.admit(r)
+	c, err := e.admit(r, caller)
 	if err != nil {
 		e.failRequest(w, err)
 		return
@@ -298,11 +295,11 @@
 }
 
 // admit finds the route and contract of the request, and checks its method.
-func (e *Entry) admit(r *http.Request) (*call, error) {
+func (e *Entry) admit(r *http.Request, caller dialect.Caller) (*call, error) {
 	if err := checkTarget(r); err != nil {
 		return nil, err
 	}
-	c, err := e.matchContract(r, r.URL.Path)
+	c, err := e.matchContract(r, caller, r.URL.Path)
 	if err != nil {
 		return nil, err
 	}
@@ -317,15 +314,6 @@
 	return c, nil
 }
 
-// apiKey returns the bearer token of the request, or "".
-func apiKey(r *http.Request) string {
-	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") {
-		return ""
-	}
-	return strings.TrimSpace(key)
-}
-
 // requestTimeout returns the time that the request may take: that of the route, or that of the
 // caller if it is shorter.
 func requestTimeout(route *catalog.Route, caller dialect.Caller) time.Duration {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -32,7 +32,7 @@
 	deadline, _ := ctx.Deadline()
 	now := time.Now()
 	retryState := e.budgets.Begin(now, retry.Request{
-		Customer: c.customer.Name, Service: c.service.Name, Repeatable: c.repeatable, Deadline: deadline,
+		Customer: c.base.Name, Service: c.service.Name, Repeatable: c.repeatable, Deadline: deadline,
 		BudgetPercent: c.customer.RetryBudgetPercent, MaxBackends: c.route.MaxBackends,
 	})
 	rounds := newRetryRounds(now, deadline, c.route.Goal, e.maxWait)
@@ -41,6 +41,10 @@
 		if e.stopping() {
 			return failures.result(errkind.New(errkind.Draining, "this daemon ends too soon to hand over further requests"))
 		}
+		if err := e.confirmKey(c); err != nil {
+			failures.record(err)
+			return failures.result(err)
+		}
 		choice, err := e.balancer.Pick(time.Now(), c.pickRequest(retryState.Excluded(), rounds.insist))
 		if err != nil {
 			rounds.noteRefusal(errkind.Of(err))
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -247,7 +247,7 @@
 		return nil, err
 	}
 	return &call{
-		id: r.Header.Get(forward.HeaderRequestID), customer: customer, route: route, service: service, body: body,
+		id: r.Header.Get(forward.HeaderRequestID), base: customer, customer: customer, route: route, service: service, body: body,
 		origin: forward.ReceivedOrigin(r.Header),
 	}, nil
 }
@@ -261,7 +261,7 @@
 		e.failRequest(w, errkind.New(errkind.BadRequest, "the query needs path=PATH, the path of the operation"))
 		return
 	}
-	c, err := e.matchContract(r, path)
+	c, err := e.matchContract(r, e.dialect.ParseCaller(r.Header), path)
 	if err != nil {
 		e.failRequest(w, err)
 		return
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -7,41 +7,46 @@
 	"strings"
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/dialect"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 )
 
 // matchContract finds the customer, the route and the service of a request.
-func (e *Entry) matchContract(r *http.Request, path string) (*call, error) {
+func (e *Entry) matchContract(r *http.Request, caller dialect.Caller, path string) (*call, error) {
 	snapshot := e.snapshot()
 	if snapshot == nil {
 		return nil, errkind.New(errkind.NoConfiguration, "this daemon has no configuration yet")
 	}
-	customer, err := e.customerOf(snapshot, r)
+	base, err := e.baseCustomer(snapshot, r, caller)
 	if err != nil {
 		return nil, err
 	}
-	route := customer.RouteOf(hostOf(r), path)
+	route := base.RouteOf(hostOf(r), path)
 	if route == nil {
-		return nil, e.noRoute("the contract of " + customer.Name + " has no route for this path")
+		return nil, e.noRoute("the contract of " + base.Name + " has no route for this path")
+	}
+	c := &call{base: base, customer: base, route: route, organisations: snapshot.Organisations()}
+	if err := e.identify(c, caller); err != nil {
+		return nil, err
 	}
 	name := chooseService(route)
-	service := snapshot.Service(name)
-	if service == nil || len(service.BackendServers) == 0 {
+	c.service = snapshot.Service(name)
+	if c.service == nil || len(c.service.BackendServers) == 0 {
 		return nil, errkind.New(errkind.NoBackend, "service "+name+" has no backend servers")
 	}
-	return &call{customer: customer, route: route, service: service}, nil
+	return c, nil
 }
 
-// customerOf finds the customer by API key, or by host name if the configuration identifies callers
-// so.
-func (e *Entry) customerOf(snapshot *catalog.Snapshot, r *http.Request) (*catalog.Customer, error) {
+// baseCustomer finds the customer whose contract has the route, by API key, or by host name if the
+// configuration identifies callers so. Organisations share the contract.
+func (e *Entry) baseCustomer(snapshot *catalog.Snapshot, r *http.Request, caller dialect.Caller) (*catalog.Customer, error) {
 	if snapshot.IdentifiesByHost() {
 		if customer := snapshot.CustomerByHost(hostOf(r)); customer != nil {
 			return customer, nil
 		}
 		return nil, e.noRoute("no contract has the host name of the request")
 	}
-	if customer := snapshot.CustomerByKey(catalog.DigestOf(apiKey(r))); customer != nil {
+	if customer := snapshot.CustomerByKey(catalog.DigestOf(caller.APIKey)); customer != nil {
 		return customer, nil
 	}
 	return nil, errkind.New(errkind.Unauthenticated, "no contract has this API key; send it as Authorization: Bearer KEY")
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -135,6 +135,9 @@
 	forward.CopyHeaders(out.Header, r.Header)
 	h := out.Header
 	h.Del("Authorization") // the API key is for the entry only
+	if t.call.organisations != nil {
+		t.entry.dialect.RemoveCredentials(h)
+	}
 	t.call.origin.Set(h)
 	if t.toOwner {
 		h.Set(forward.HeaderOperation, r.Header.Get(forward.HeaderIdempotencyKey))
@@ -144,7 +147,10 @@
 		t.addRoutingHeaders(h)
 		t.addBaseline(h)
 	}
-	h.Set(forward.HeaderCustomer, t.call.customer.Name)
+	h.Set(forward.HeaderCustomer, t.call.base.Name)
+	if t.call.customer.Organisation {
+		h.Set(forward.HeaderOrganisation, t.call.customer.Name)
+	}
 	h.Set(forward.HeaderRequestID, t.call.id)
 	h.Set(forward.HeaderPriority, strconv.Itoa(t.call.priority()))
 	if deadline, ok := ctx.Deadline(); ok {
--- a/internal/feed/configuration.go
+++ b/internal/feed/configuration.go
@@ -141,9 +141,9 @@
 		}
 		added := 0
 		for _, d := range c.deltas[i:] {
-			added += d.AddedRoutes()
+			added += d.Added()
 		}
-		if added > len(c.latest.Configuration.Routes) {
+		if latest := c.latest.Configuration; added > len(latest.Routes)+len(latest.Organisations) {
 			return nil
 		}
 		return c.deltas[i:]
--- a/internal/forward/headers.go
+++ b/internal/forward/headers.go
@@ -21,6 +21,9 @@
 	HeaderService = "Cowslip-Service"
 	// HeaderCustomer names the customer whose contract the request falls under.
 	HeaderCustomer = "Cowslip-Customer"
+	// HeaderOrganisation names the organisation that the request belongs to. It is missing if there is
+	// none.
+	HeaderOrganisation = "Cowslip-Organisation"
 	// HeaderRequestID identifies the request in logs and responses.
 	HeaderRequestID = "Cowslip-Request-Id"
 	// HeaderDeadline is the time that remains for the request, in milliseconds.
--- a/internal/home/apply.go
+++ b/internal/home/apply.go
@@ -16,6 +16,7 @@
 // if an override is invalid.
 func (h *Home) Apply(snapshot *catalog.Snapshot) []error {
 	now := time.Now()
+	h.identifiesCallers.Store(snapshot.Organisations() != nil)
 	next := map[string]*member{}
 	var services []*reservation.Service
 	var problems []error
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -34,6 +34,8 @@
 	// backend is the id of the backend server.
 	backend string
 	address string
+	// removeCredentials is set if callers are identified by keys, which backend servers must not get.
+	removeCredentials bool
 	// gotConnection is set once a connection was obtained. From then on bytes may have reached the
 	// backend server, and the request counts as handed over.
 	gotConnection atomic.Bool
@@ -164,7 +166,11 @@
 	forward.CopyHeaders(out.Header, r.Header)
 	info := dialect.Request{
 		ID: r.Header.Get(forward.HeaderRequestID), Customer: r.Header.Get(forward.HeaderCustomer), Backend: x.backend,
-		OriginService: r.Header.Get(forward.HeaderOrigin),
+		OriginService: r.Header.Get(forward.HeaderOrigin), Organisation: r.Header.Get(forward.HeaderOrganisation),
+	}
+	if x.removeCredentials || info.Organisation != "" {
+		// The entry did so unless its configuration is an older one without organisations.
+		x.dialect.RemoveCredentials(out.Header)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		info.Remaining = max(time.Until(deadline), time.Millisecond)
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -77,6 +77,8 @@
 	// draining is set at the start of a drain, listedLeaving while the platform lists the VM as
 	// leaving. With either, no reservation is granted and entries are told to use other VMs.
 	draining, listedLeaving atomic.Bool
+	// identifiesCallers is set while the configuration has organisations.
+	identifiesCallers atomic.Bool
 	// closed is set when, while leaving, the reservations that the VM granted have ended. New
 	// requests are then refused. A drain never clears it; it is cleared when the platform lists the
 	// VM as live again.
@@ -293,7 +295,7 @@
 // exchange sends an admitted request to the backend server and passes the response on. The caller
 // holds a slot.
 func (h *Home) exchange(ctx context.Context, w http.ResponseWriter, r *http.Request, m *member) {
-	x := &exchange{transport: h.transport, dialect: h.dialect, backend: m.id, address: m.address}
+	x := &exchange{transport: h.transport, dialect: h.dialect, backend: m.id, address: m.address, removeCredentials: h.identifiesCallers.Load()}
 	m.begin(x)
 	err := x.send(ctx, r)
 	if err != nil {
--- a/internal/registry/build.go
+++ b/internal/registry/build.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"math"
 	"net"
 	"net/netip"
 	"slices"
@@ -11,7 +12,8 @@
 )
 
 // CustomerName is the name of the one customer that Build creates from the operator's routes.
-// Callers of such a deployment send no API key, so all of them belong to this customer.
+// Requests without an organisation belong to it: all of them if the configuration has no
+// organisations, and otherwise those on anonymous routes.
 const CustomerName = "operator"
 
 // topPriority is the priority of the most important routes. In catalog.Route a higher number is
@@ -53,7 +55,7 @@
 	for _, svc := range b.resolved.Services {
 		svc.Floor = catalog.FloorCount(len(svc.BackendServers), options.FloorPercent)
 	}
-	b.addRoutes(c)
+	b.addCallers(t.callersOf(c, options.RetryPercent))
 	return catalog.NewResolvedSnapshot(b.resolved)
 }
 
@@ -133,22 +135,62 @@
 	return vm
 }
 
-func (b *builder) addRoutes(c *Configuration) {
+// callers is what a configuration says about requests: their customer, with the routes, by the host
+// name, and the organisations. Snapshots of the same configuration share it, because a snapshot is
+// made for each change of the registrations.
+type callers struct {
+	configuration *Configuration
+	retryPercent  int
+	customer      *catalog.Customer
+	hosts         map[string]*catalog.Customer
+	organisations *catalog.Organisations
+}
+
+// callersOf returns the callers of the table's configuration.
+func (t *Table) callersOf(c *Configuration, retryPercent int) *callers {
+	if t.callers == nil || t.callers.configuration != c || t.callers.retryPercent != retryPercent {
+		t.callers = newCallers(c, retryPercent)
+	}
+	return t.callers
+}
+
+func newCallers(c *Configuration, retryPercent int) *callers {
 	customer := &catalog.Customer{
 		Name: CustomerName, Generation: c.Version, Limits: contract.Limits{MaxRequestBytes: c.MaxBodyBytes},
-		Deadline: catalog.DefaultDeadline, RetryBudgetPercent: b.options.RetryPercent, Priority: catalog.DefaultPriority, SpillToOtherRegion: true,
+		Deadline: catalog.DefaultDeadline, RetryBudgetPercent: retryPercent, Priority: catalog.DefaultPriority, SpillToOtherRegion: true,
 	}
 	if customer.Limits.MaxRequestBytes <= 0 {
 		customer.Limits.MaxRequestBytes = catalog.DefaultMaxRequestBytes
 	}
-	b.resolved.Hosts = map[string]*catalog.Customer{}
+	out := &callers{configuration: c, retryPercent: retryPercent, customer: customer, hosts: map[string]*catalog.Customer{}}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		customer.Routes = append(customer.Routes, toCatalogRoute(r))
-		b.resolved.Hosts[r.Host] = customer
+		out.hosts[r.Host] = customer
 	}
 	slices.SortStableFunc(customer.Routes, func(x, y catalog.Route) int { return len(y.PathPrefix) - len(x.PathPrefix) })
-	b.resolved.Customers = []*catalog.Customer{customer}
+	if c.HasOrganisations() {
+		out.organisations = buildOrganisations(c.Organisations, customer)
+	}
+	return out
+}
+
+func (b *builder) addCallers(c *callers) {
+	b.resolved.Customers = []*catalog.Customer{c.customer}
+	b.resolved.Hosts, b.resolved.Organisations = c.hosts, c.organisations
+}
+
+// buildOrganisations returns the organisations, which have the routes and all but the limits from the
+// customer without a key.
+func buildOrganisations(organisations []Organisation, base *catalog.Customer) *catalog.Organisations {
+	list, keys := make([]catalog.Customer, len(organisations)), make([][]catalog.KeyDigest, len(organisations))
+	for i := range organisations {
+		o := &organisations[i]
+		list[i], keys[i] = *base, o.Keys
+		list[i].Name, list[i].Rank, list[i].LimitsUnknown = o.Name, max(o.Rank, 0), o.LimitsUnknown
+		list[i].Limits.RatePerSecond, list[i].Limits.Burst = o.RatePerSecond, int(min(o.Burst, math.MaxInt32))
+	}
+	return catalog.NewOrganisations(list, keys)
 }
 
 func toCatalogRoute(r *Route) catalog.Route {
@@ -156,7 +198,7 @@
 	priority := max(topPriority-r.Rank, 0)
 	out := catalog.Route{
 		PathPrefix: r.PathPrefix, Host: r.Host, SafeToRepeat: &repeatable, Deadline: r.Timeout, Goal: r.Goal, MaxBackends: r.MaxBackends,
-		Priority: &priority, LargeResponses: r.Kind == Download,
+		Priority: &priority, LargeResponses: r.Kind == Download, Anonymous: r.Anonymous,
 	}
 	if out.Deadline <= 0 {
 		out.Deadline = catalog.DefaultDeadline
--- a/internal/registry/delta_test.go
+++ b/internal/registry/delta_test.go
@@ -53,12 +53,14 @@
 			field.SetInt(7)
 		case reflect.Uint8:
 			field.SetUint(1)
+		case reflect.Bool:
+			field.SetBool(true)
 		case reflect.Slice:
 			changed.Parts = []catalog.WeightedService{{Service: "s", Weight: 1}}
 		default:
 			t.Fatalf("field %s has a kind that the test does not know", fields.Field(i).Name)
 		}
-		if d := DiffConfigurations(before, &Configuration{Routes: []Route{changed}}); d.AddedRoutes() != 1 {
+		if d := DiffConfigurations(before, &Configuration{Routes: []Route{changed}}); d.Added() != 1 {
 			t.Errorf("a change of field %s is not carried", fields.Field(i).Name)
 		}
 	}
@@ -67,8 +69,8 @@
 // Guards against a malformed delta that ends the process, or makes a configuration of other routes.
 func TestDeltaThatDoesNotFitIsRefused(t *testing.T) {
 	before := &Configuration{Routes: make([]Route, 3)}
-	for _, span := range []RouteSpan{{From: 4}, {Count: 4}, {From: 2, Count: 2}, {From: -1, Count: 1}, {Count: -1}, {From: 1, Count: 1<<63 - 1}} {
-		d := &ConfigurationDelta{Spans: []RouteSpan{span}}
+	for _, span := range []Span[Route]{{From: 4}, {Count: 4}, {From: 2, Count: 2}, {From: -1, Count: 1}, {Count: -1}, {From: 1, Count: 1<<63 - 1}} {
+		d := &ConfigurationDelta{Spans: []Span[Route]{span}}
 		if got, err := d.Apply(before); err == nil {
 			t.Errorf("%+v: got %+v", span, got)
 		}
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -29,6 +29,8 @@
 	expireAt time.Time
 	// holdUntil is the end of the hold: until then, removed registrations may be about to return.
 	holdUntil time.Time
+	// callers are those of the configuration, nil before the first snapshot.
+	callers *callers
 }
 
 // NewTable returns an empty table.
--- a/internal/registry/types.go
+++ b/internal/registry/types.go
@@ -48,6 +48,8 @@
 	// MaxBackends bounds the number of backend servers that one request is sent to. 0 leaves it to
 	// the retry rules.
 	MaxBackends int
+	// Anonymous means that requests belong to no organisation, whatever key they carry.
+	Anonymous bool `json:",omitempty"`
 }
 
 // Service holds the operator's settings of one service.
@@ -56,6 +58,21 @@
 	HealthPath string
 }
 
+// Organisation is one organisation of callers.
+type Organisation struct {
+	Name string
+	// Keys are the digests of the keys that identify the organisation.
+	Keys []catalog.KeyDigest `json:",omitempty"`
+	// Rank is the urgency of the organisation. 0 is the most urgent.
+	Rank int `json:",omitempty"`
+	// RatePerSecond is the allowed number of requests per second. 0 means that there is no limit. Burst
+	// is the number of requests that may arrive at once.
+	RatePerSecond float64 `json:",omitempty"`
+	Burst         float64 `json:",omitempty"`
+	// LimitsUnknown means that the operator's limits cannot be read. The requests are refused.
+	LimitsUnknown bool `json:",omitempty"`
+}
+
 // Configuration is one version of the operator's configuration.
 type Configuration struct {
 	Version  uint64
@@ -63,8 +80,23 @@
 	Services []Service
 	// MaxBodyBytes bounds a request body. 0 means the default.
 	MaxBodyBytes int64
+	// Organisations is ordered by name, so that a delta between two configurations is small.
+	Organisations []Organisation `json:",omitempty"`
+	// KeysRequired means that the operator's configuration has organisations, also if none of them can
+	// be used.
+	KeysRequired bool `json:",omitempty"`
+	// Faults say what of the organisations cannot be used, at most MaxFaults of them. They hold no key.
+	// FaultCount counts all.
+	Faults     []string `json:",omitempty"`
+	FaultCount int      `json:",omitempty"`
 }
 
+// MaxFaults bounds Configuration.Faults, which each daemon logs.
+const MaxFaults = 16
+
+// HasOrganisations reports whether callers are identified by the keys of organisations.
+func (c *Configuration) HasOrganisations() bool { return c.KeysRequired || len(c.Organisations) > 0 }
+
 // Registration is what a backend server publishes about itself.
 type Registration struct {
 	ID      string
