Check keys before each hand-over, and audit what is revoked

A request whose key was revoked while it waited for a slot at a home was still handed over, because the entry checked the key before a try only. It now checks again when the home asks for the end of the request; a refusal then counts neither against the path nor against the home.

A revocation at an unchanged version of the configuration waited for other changes and left no trace. The daemon now compares configurations, not versions, and the audit trail has the digests of revoked keys (at most 16 a change) and how many organisations were added and removed. Metrics show the organisations in force, those with a limit, and the parts of the list that cannot be used.

The difference between two lists is only searched between their first and last change.

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -83,12 +83,14 @@
 	guard *peerGuard
 	feed  *feed.Source
 
-	// mu guards fresh, table, buildOptions, lastPublish and unpublished.
+	// mu guards fresh, table, buildOptions, lastPublish, unpublished and configurationInForce.
 	mu sync.Mutex
 	// fresh is set once the table has been complete and as new as the registry. It stays set.
 	fresh        bool
 	table        *registry.Table
 	buildOptions registry.BuildOptions
+	// configurationInForce is the operator's configuration of snapshot.
+	configurationInForce *registry.Configuration
 	// lastPublish is the time of the latest snapshot.
 	lastPublish time.Time
 	// unpublished is true while the table has changes that are not in force. publishDue wakes the
@@ -110,6 +112,8 @@
 	endRequests context.CancelCauseFunc
 	// unknownKinds is the number of routes in force whose kind this version does not know.
 	unknownKinds atomic.Int64
+	// organisationFaults is the number of parts of the organisations in force that cannot be used.
+	organisationFaults atomic.Int64
 
 	callers, peer, ready, admin *namedServer
 }
@@ -324,16 +328,19 @@
 // mu.
 func (d *RegistryDaemon) noteConfiguration(before *catalog.Snapshot) {
 	c, revision := d.table.Configuration()
-	from := ""
+	if c == d.configurationInForce {
+		return
+	}
+	d.configurationInForce = c
+	from, to := "", strconv.FormatUint(c.Version, 10)
+	var organisationsBefore *catalog.Organisations
 	if before != nil {
 		from = strconv.FormatUint(before.Customer(registry.CustomerName).Generation, 10)
-	}
-	to := strconv.FormatUint(c.Version, 10)
-	if from == to {
-		return
+		organisationsBefore = before.Organisations()
 	}
 	d.audit.Add(audit.Entry{Actor: "operator", Action: "configuration", Subject: "revision " + strconv.FormatUint(revision, 10), From: from, To: to, Accepted: true})
 	d.noteUnknownKinds(c)
+	d.noteOrganisations(organisationsBefore, d.snapshot.Load().Organisations(), c, revision)
 }
 
 // chargeRetry takes a retry of another daemon's request, which this daemon's home is about to
--- a/internal/daemon/registrymetrics.go
+++ b/internal/daemon/registrymetrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/registry"
 )
 
@@ -16,6 +17,9 @@
 	set.NewGauge("cowslip_ready", func() float64 { return boolGauge(d.snapshot.Load() != nil) })
 	set.NewGauge("cowslip_leaving", func() float64 { return boolGauge(d.leaving.Load()) })
 	set.NewGauge("cowslip_routes_of_unknown_kind", func() float64 { return float64(d.unknownKinds.Load()) })
+	set.NewGauge("cowslip_organisations", func() float64 { return float64(d.organisations().Count()) })
+	set.NewGauge("cowslip_organisations_limited", func() float64 { return float64(d.organisations().Limited()) })
+	set.NewGauge("cowslip_organisation_faults", func() float64 { return float64(d.organisationFaults.Load()) })
 	set.NewGauge("cowslip_registry_age_seconds", func() float64 { return d.feed.Age().Seconds() })
 	set.NewGauge("cowslip_registry_reader", func() float64 { return boolGauge(d.feed.Reading()) })
 	set.NewGauge("cowslip_registry_followers", func() float64 { return float64(d.feed.Followers()) })
@@ -23,6 +27,14 @@
 	set.RegisterMetricsWriter(d.writeFeedMetrics)
 }
 
+// organisations returns the organisations in force, nil if there are none.
+func (d *RegistryDaemon) organisations() *catalog.Organisations {
+	if snapshot := d.snapshot.Load(); snapshot != nil {
+		return snapshot.Organisations()
+	}
+	return nil
+}
+
 // writeFeedMetrics writes the counts of the feed.
 func (d *RegistryDaemon) writeFeedMetrics(w io.Writer) {
 	stats := d.feed.Stats()
--- a/internal/daemon/registrypublish.go
+++ b/internal/daemon/registrypublish.go
@@ -60,12 +60,11 @@
 // mustPublish reports whether the content of the table must be put in force without a delay. The
 // caller holds mu.
 func (d *RegistryDaemon) mustPublish() bool {
-	inForce := d.snapshot.Load()
-	if inForce == nil {
+	if d.snapshot.Load() == nil {
 		return d.fresh || len(*d.feedPeers.Load()) == 0
 	}
 	c, _ := d.table.Configuration()
-	return c.Version != inForce.Customer(registry.CustomerName).Generation
+	return c != d.configurationInForce // also at the same version: it may revoke a key
 }
 
 // publishDelayed puts changes in force that publishSoon has delayed, until ctx ends.
--- a/internal/entry/confirm.go
+++ b/internal/entry/confirm.go
@@ -28,24 +28,44 @@
 // received it.
 type withheldBody struct {
 	io.ReadCloser
+	// check returns an error if the request must not be handed over any more. It is called before the
+	// first read, which is after the wait for a slot at the home daemon.
+	check func() error
 
 	mu          sync.Mutex
 	readStarted bool
 	withdrawn   bool
+	// refusal is the error of check.
+	refusal error
 }
 
 // Read reads from the body until it is withdrawn. Then it returns errBodyWithdrawn.
 func (b *withheldBody) Read(p []byte) (int, error) {
-	b.mu.Lock()
-	withdrawn := b.withdrawn
-	b.readStarted = b.readStarted || !withdrawn
-	b.mu.Unlock()
-	if withdrawn {
+	if !b.begin() {
 		return 0, errBodyWithdrawn
 	}
 	return b.ReadCloser.Read(p)
 }
 
+// begin reports whether the body may be read, and withdraws it if check fails before the first read.
+func (b *withheldBody) begin() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.readStarted && !b.withdrawn {
+		b.refusal = b.check()
+		b.withdrawn = b.refusal != nil
+	}
+	b.readStarted = b.readStarted || !b.withdrawn
+	return !b.withdrawn
+}
+
+// refused returns the error of check, or nil.
+func (b *withheldBody) refused() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.refusal
+}
+
 // withdraw ends reading, and reports whether nothing was read.
 func (b *withheldBody) withdraw() (unread bool) {
 	b.mu.Lock()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -213,15 +213,11 @@
 type call struct {
 	// id is the request id.
 	id string
-	// base is the customer whose contract has the route, and whose retry budget pays. customer is the
-	// organisation, or base if there is none.
-	base, customer *catalog.Customer
-	route          *catalog.Route
-	service        *catalog.Service
-	// key identified the organisation in organisations, which are those of the configuration at the
-	// latest check. They are nil if the configuration had none.
-	key           catalog.KeyDigest
-	organisations *catalog.Organisations
+	// base is the customer whose contract has the route, and whose retry budget pays.
+	base *catalog.Customer
+	identity
+	route   *catalog.Route
+	service *catalog.Service
 	// repeatable is true if the route allows another try although an earlier one may have run.
 	repeatable bool
 	body       *upload
--- a/internal/entry/operation.go
+++ b/internal/entry/operation.go
@@ -247,7 +247,7 @@
 		return nil, err
 	}
 	return &call{
-		id: r.Header.Get(forward.HeaderRequestID), base: customer, customer: customer, route: route, service: service, body: body,
+		id: r.Header.Get(forward.HeaderRequestID), base: customer, identity: identity{customer: customer}, route: route, service: service, body: body,
 		origin: forward.ReceivedOrigin(r.Header),
 	}, nil
 }
--- a/internal/entry/organisation.go
+++ b/internal/entry/organisation.go
@@ -6,6 +6,16 @@
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 )
 
+// identity is whom a request belongs to.
+type identity struct {
+	// customer is the organisation, or that of the route if there is none.
+	customer *catalog.Customer
+	// key identified the organisation in organisations, which are those of the configuration at the
+	// latest check. They are nil if the configuration had none.
+	key           catalog.KeyDigest
+	organisations *catalog.Organisations
+}
+
 // routePriorities is the number of priorities of routes, which are from 0 to 9. Requests of different
 // organisations are that much apart.
 const routePriorities = 10
@@ -55,27 +65,46 @@
 	return organisation, nil
 }
 
-// confirmKey checks the key of a request again before a hand-over, if the organisations have changed
-// since the latest check. The request may have waited for capacity meanwhile. It has not run.
+// confirmKey checks the key of a request again before a try, because the request may have waited for
+// capacity since the latest check. It has not run if its key is not valid any more.
 func (e *Entry) confirmKey(c *call) error {
+	next, err := e.recheck(c.identity)
+	if err == nil {
+		c.identity = next
+	}
+	return err
+}
+
+// keyCheck returns a function that checks the key of the request, which any goroutine may call while
+// a try lasts.
+func (e *Entry) keyCheck(c *call) func() error {
+	checked := c.identity
+	return func() error {
+		_, err := e.recheck(checked)
+		return err
+	}
+}
+
+// recheck returns the identity of a request in the configuration in force. Few requests see another
+// one than at the latest check.
+func (e *Entry) recheck(id identity) (identity, error) {
 	snapshot := e.snapshot()
-	if snapshot == nil || snapshot.Organisations() == c.organisations {
-		return nil
+	if snapshot == nil || snapshot.Organisations() == id.organisations {
+		return id, nil
 	}
-	c.organisations = snapshot.Organisations()
-	if !c.customer.Organisation {
-		return nil
+	inForce := snapshot.Organisations()
+	if !id.customer.Organisation {
+		return identity{customer: id.customer, organisations: inForce}, nil
 	}
-	if c.organisations == nil {
-		return errkind.New(errkind.NoConfiguration, "the configuration changed and has no organisations any more")
+	if inForce == nil {
+		return id, errkind.New(errkind.NoConfiguration, "the configuration changed and has no organisations any more")
 	}
-	organisation, err := e.customerOf(c.organisations, c.key)
+	organisation, err := e.customerOf(inForce, id.key)
 	if err != nil {
-		return err
+		return id, err
 	}
-	if organisation.Name != c.customer.Name {
-		return errkind.New(errkind.NoConfiguration, "the configuration changed and the API key belongs to another organisation now")
+	if organisation.Name != id.customer.Name {
+		return id, errkind.New(errkind.NoConfiguration, "the configuration changed and the API key belongs to another organisation now")
 	}
-	c.customer = organisation
-	return nil
+	return identity{customer: organisation, key: id.key, organisations: inForce}, nil
 }
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -25,7 +25,7 @@
 	if route == nil {
 		return nil, e.noRoute("the contract of " + base.Name + " has no route for this path")
 	}
-	c := &call{base: base, customer: base, route: route, organisations: snapshot.Organisations()}
+	c := &call{base: base, identity: identity{customer: base, organisations: snapshot.Organisations()}, route: route}
 	if err := e.identify(c, caller); err != nil {
 		return nil, err
 	}
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -250,7 +250,7 @@
 		// sent to another one. With Options.Confirm, every request ends with a digest that the home
 		// daemon asks for, so a request that a broken path lost can be sent to another one too.
 		out.Header.Set("Expect", "100-continue")
-		t.withheld = &withheldBody{ReadCloser: reader}
+		t.withheld = &withheldBody{ReadCloser: reader, check: t.entry.keyCheck(t.call)}
 		reader = t.withheld
 	}
 	forward.SetRequestBody(out, reader)
@@ -269,6 +269,11 @@
 	if failure != nil {
 		return errkind.Wrap(errkind.RequestBroken, failure, "reading the caller's request body failed")
 	}
+	if t.withheld != nil {
+		if refusal := t.withheld.refused(); refusal != nil {
+			return refusal // nothing was read, so no backend server can have the request
+		}
+	}
 	if !t.connected.Load() {
 		return errkind.Wrap(errkind.HomeUnreachable, err, "no connection to the daemon of VM "+t.vm)
 	}
--- a/internal/feed/configuration_test.go
+++ b/internal/feed/configuration_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"reflect"
@@ -12,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/registry"
 	"github.com/cowsliprun/cowsliprun/internal/telemetry"
@@ -200,3 +202,29 @@
 		}
 	})
 }
+
+// Guards against a configuration of the size that the daemon is designed for that is too large for a
+// message between daemons.
+func TestConfigurationOfDesignSizeTravels(t *testing.T) {
+	c := &registry.Configuration{Version: 1}
+	for i := range 26_000 {
+		name := fmt.Sprintf("route-of-many-%05d", i)
+		c.Routes = append(c.Routes, registry.Route{
+			Name: name, Host: fmt.Sprintf("host-%03d.example", i%400), PathPrefix: "/" + name + "/", Timeout: 4 * time.Second, Goal: 1200 * time.Millisecond,
+			Rank: 1, MaxBackends: 2, Parts: []catalog.WeightedService{{Service: fmt.Sprintf("service-%03d", i%890), Weight: 1}},
+		})
+	}
+	for i := range 37_000 {
+		keys := []catalog.KeyDigest{catalog.DigestOf(fmt.Sprint("first ", i)), catalog.DigestOf(fmt.Sprint("second ", i))}
+		c.Organisations = append(c.Organisations, registry.Organisation{Name: fmt.Sprintf("organisation-of-many-%05d", i), Keys: keys, Rank: 1, RatePerSecond: 5.5, Burst: 5})
+	}
+	data, err := encodeMessage(&configurationMessage{Key: "op/config", Revision: 7, Full: c})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m configurationMessage
+	if err := readMessage(bytes.NewReader(data), func() {}, &m); err != nil || !reflect.DeepEqual(m.Full, c) {
+		t.Errorf("a message of %d bytes: %v", len(data), err)
+	}
+	t.Logf("%d bytes", len(data))
+}
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -47,9 +47,9 @@
 )
 
 const (
-	// maxFrameBytes bounds one frame, uncompressed: the full state of 14,000 backend servers and
-	// 26,000 routes.
-	maxFrameBytes = 16 << 20
+	// maxFrameBytes bounds one frame, uncompressed: the full state of 14,000 backend servers, or a
+	// configuration with 26,000 routes and 37,000 organisations with two keys each.
+	maxFrameBytes = 24 << 20
 	// minCompressedBytes is the size from which a frame is compressed.
 	minCompressedBytes = 512
 	// frameHeaderBytes is the size of a frame's header: one byte that is 1 if the frame is
--- a/internal/registry/delta.go
+++ b/internal/registry/delta.go
@@ -93,29 +93,51 @@
 	}
 }
 
-// diff returns the spans that make a list of an earlier one.
+// diff returns the spans that make a list of an earlier one. Most changes concern few items, so only
+// what lies between the first and the last change is compared by position.
 func diff[T any, K comparable](before, after []T, keyOf func(*T) K) []Span[T] {
-	positions := make(map[K]int, len(before))
-	for i := range before {
+	same := func(i, j int) bool { return keyOf(&before[i]) == keyOf(&after[j]) }
+	head, shorter := 0, min(len(before), len(after))
+	for head < shorter && same(head, head) {
+		head++
+	}
+	tail := 0
+	for tail < shorter-head && same(len(before)-1-tail, len(after)-1-tail) {
+		tail++
+	}
+	positions := make(map[K]int, len(before)-head-tail)
+	for i := head; i < len(before)-tail; i++ {
 		positions[keyOf(&before[i])] = i
 	}
 	var spans []Span[T]
-	for i := range after {
+	if head > 0 {
+		spans = append(spans, Span[T]{Count: head})
+	}
+	for i := head; i < len(after)-tail; i++ {
 		position, known := positions[keyOf(&after[i])]
-		if len(spans) == 0 {
-			spans = append(spans, Span[T]{})
-		}
-		last := &spans[len(spans)-1]
-		switch {
-		case !known:
-			last.Added = append(last.Added, after[i])
-		case len(last.Added) > 0 || last.Count > 0 && position != last.From+last.Count:
-			spans = append(spans, Span[T]{From: position, Count: 1})
-		case last.Count > 0:
-			last.Count++
-		default:
-			last.From, last.Count = position, 1
-		}
+		spans = appendItem(spans, &after[i], position, known)
+	}
+	if tail > 0 {
+		spans = append(spans, Span[T]{From: len(before) - tail, Count: tail})
+	}
+	return spans
+}
+
+// appendItem adds an item to the spans, which is known if it stands at a position of the earlier list.
+func appendItem[T any](spans []Span[T], item *T, position int, known bool) []Span[T] {
+	if len(spans) == 0 {
+		spans = append(spans, Span[T]{})
+	}
+	last := &spans[len(spans)-1]
+	switch {
+	case !known:
+		last.Added = append(last.Added, *item)
+	case len(last.Added) > 0 || last.Count > 0 && position != last.From+last.Count:
+		spans = append(spans, Span[T]{From: position, Count: 1})
+	case last.Count > 0:
+		last.Count++
+	default:
+		last.From, last.Count = position, 1
 	}
 	return spans
 }
