Describe organisations, and show operators their use

The number of organisations is not bounded, so metrics have totals only; the log names the five organisations with the most requests once a minute.

--- a/internal/daemon/registrymetrics.go
+++ b/internal/daemon/registrymetrics.go
@@ -35,7 +35,7 @@
 	return nil
 }
 
-// writeFeedMetrics writes the counts of the feed.
+// writeFeedMetrics writes the counts of the feed, and of the requests of organisations.
 func (d *RegistryDaemon) writeFeedMetrics(w io.Writer) {
 	stats := d.feed.Stats()
 	metrics.WriteCounterUint64(w, "cowslip_registry_sent_bytes_total", stats.SentBytes)
@@ -45,6 +45,9 @@
 	metrics.WriteCounterUint64(w, "cowslip_registry_failed_transfers_total", stats.FailedTransfers)
 	metrics.WriteCounterUint64(w, "cowslip_registry_broken_streams_total", stats.BrokenStreams)
 	metrics.WriteCounterUint64(w, "cowslip_registry_searches_total", stats.Searches)
+	requests, refused := d.entry.OrganisationUse()
+	metrics.WriteCounterUint64(w, "cowslip_organisation_requests_total", requests)
+	metrics.WriteCounterUint64(w, "cowslip_organisation_failures_total", refused)
 }
 
 // noteUnknownKinds counts and logs the routes of a new configuration whose kind this version does
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -146,6 +146,7 @@
 	maxWait       time.Duration
 	startWaiter   *startWaiter
 	outdated      func() bool
+	use           organisationUse
 }
 
 // New returns an Entry with the given options.
@@ -241,6 +242,12 @@
 		return
 	}
 	c.id = id
+	refused := true
+	defer func() {
+		if c.customer.Organisation {
+			e.use.count(c.customer.Name, refused)
+		}
+	}()
 	ctx, cancel := context.WithDeadline(r.Context(), received.Add(requestTimeout(c.route, caller)))
 	defer cancel()
 	if err := c.readUpload(ctx, w, r); err != nil {
@@ -260,7 +267,9 @@
 	if err := handle(ctx, w, r, c); err != nil {
 		mayHaveRun = errkind.Of(err).Answer().Outcome != errkind.NotRun
 		e.failRequest(w, err)
+		return
 	}
+	refused = false
 }
 
 // ChargeRetry takes one token from the retry budget of this daemon for a retry of another daemon's
@@ -280,6 +289,7 @@
 func (e *Entry) Expire(now time.Time) {
 	e.balancer.Expire(now)
 	e.budgets.Expire(now)
+	e.logUse(now)
 }
 
 // failRequest counts and logs the error, and sends it to the caller.
--- a/internal/entry/organisation_test.go
+++ b/internal/entry/organisation_test.go
@@ -16,6 +16,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/registry"
 	"github.com/cowsliprun/cowsliprun/internal/retry"
+	"github.com/cowsliprun/cowsliprun/internal/telemetry"
 )
 
 // organisation returns an organisation with one key, which is apiKey unless it is given.
@@ -182,3 +183,38 @@
 		}
 	}
 }
+
+// Guards against use by organisations that no operator sees, or that is counted for requests without
+// one.
+func TestUseByOrganisationsIsLogged(t *testing.T) {
+	snapshot, lines := snapshotWith(organisation("acme", 0), organisation("zeta", 0, "key of zeta")), &logBuffer{}
+	log, err := telemetry.NewLogger(lines, "logfmt", "info")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := entry.New(entry.Options{
+		VM: "vm0", Seed: 1, Log: log, Snapshot: func() *catalog.Snapshot { return snapshot },
+		Transport: homeFunc(func(r *http.Request) (*http.Response, error) {
+			if r.Header.Get("Fails") != "" {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return homeResponse(r, "done"), nil
+		}),
+	})
+	for range 3 {
+		sendRequest(e, "GET", "/a", "")
+	}
+	sendRequest(e, "GET", "/a", "", "Authorization", "Bearer key of zeta", "Fails", "1")
+	sendRequest(e, "GET", "/a", "", "Authorization", "Bearer unknown")
+	sendRequest(e, "GET", "/open/a", "")
+	if requests, refused := e.OrganisationUse(); requests != 4 || refused != 1 {
+		t.Errorf("%d requests, %d refused", requests, refused)
+	}
+	lines.takeLines()
+	e.Expire(time.Now())
+	requireLine(t, lines.takeLines(), "requests=4 refused=1 organisations=2", `acme\": 3, 0 refused; \"zeta\": 1, 1 refused`)
+	e.Expire(time.Now())
+	if more := lines.takeLines(); len(more) > 0 {
+		t.Errorf("logged again: %q", more)
+	}
+}
--- a/internal/registry/doc.go
+++ b/internal/registry/doc.go
@@ -5,5 +5,6 @@
 // A Reader reads the changes from a Store. A Table keeps the latest state of each key and ignores
 // changes with an older revision. Build turns the table into a catalog.Snapshot, so that the rest
 // of the daemon works as with documents: each host name belongs to a customer whose contract
-// consists of the operator's routes.
+// consists of the operator's routes. If the operator lists organisations, each is a customer too, which
+// the key of a request identifies.
 package registry
