--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strings"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/balance"
@@ -147,6 +146,7 @@
 	maxWait       time.Duration
 	startWaiter   *startWaiter
 	outdated      func() bool
+	use           organisationUse
 }
 
 // New returns an Entry with the given options.
@@ -210,21 +210,15 @@
 	})
 }
 
-// priority returns the priority of the request: that of the route, or else that of the customer.
-func (c *call) priority() int {
-	if c.route.Priority != nil {
-		return *c.route.Priority
-	}
-	return c.customer.Priority
-}
-
 // call is one request of a caller with the parts of the contract that apply to it.
 type call struct {
 	// id is the request id.
-	id       string
-	customer *catalog.Customer
-	route    *catalog.Route
-	service  *catalog.Service
+	id string
+	// base is the customer whose contract has the route, and whose retry budget pays.
+	base *catalog.Customer
+	identity
+	route   *catalog.Route
+	service *catalog.Service
 	// repeatable is true if the route allows another try although an earlier one may have run.
 	repeatable bool
 	body       *upload
@@ -242,12 +236,18 @@
 	}
 	w.Header().Set(forward.HeaderRequestID, id)
 	e.startWaiter.wait(r.Context(), caller.Timeout)
-	c, err := e.admit(r)
+	c, err := e.admit(r, caller)
 	if err != nil {
 		e.failRequest(w, err)
 		return
 	}
 	c.id = id
+	refused := true
+	defer func() {
+		if c.customer.Organisation {
+			e.use.count(c.customer.Name, refused)
+		}
+	}()
 	ctx, cancel := context.WithDeadline(r.Context(), received.Add(requestTimeout(c.route, caller)))
 	defer cancel()
 	if err := c.readUpload(ctx, w, r); err != nil {
@@ -267,7 +267,9 @@
 	if err := handle(ctx, w, r, c); err != nil {
 		mayHaveRun = errkind.Of(err).Answer().Outcome != errkind.NotRun
 		e.failRequest(w, err)
+		return
 	}
+	refused = false
 }
 
 // ChargeRetry takes one token from the retry budget of this daemon for a retry of another daemon's
@@ -287,6 +289,7 @@
 func (e *Entry) Expire(now time.Time) {
 	e.balancer.Expire(now)
 	e.budgets.Expire(now)
+	e.logUse(now)
 }
 
 // failRequest counts and logs the error, and sends it to the caller.
@@ -298,11 +301,11 @@
 }
 
 // admit finds the route and contract of the request, and checks its method.
-func (e *Entry) admit(r *http.Request) (*call, error) {
+func (e *Entry) admit(r *http.Request, caller dialect.Caller) (*call, error) {
 	if err := checkTarget(r); err != nil {
 		return nil, err
 	}
-	c, err := e.matchContract(r, r.URL.Path)
+	c, err := e.matchContract(r, caller, r.URL.Path)
 	if err != nil {
 		return nil, err
 	}
@@ -317,15 +320,6 @@
 	return c, nil
 }
 
-// apiKey returns the bearer token of the request, or "".
-func apiKey(r *http.Request) string {
-	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
-	if !strings.EqualFold(scheme, "Bearer") {
-		return ""
-	}
-	return strings.TrimSpace(key)
-}
-
 // requestTimeout returns the time that the request may take: that of the route, or that of the
 // caller if it is shorter.
 func requestTimeout(route *catalog.Route, caller dialect.Caller) time.Duration {
--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -135,6 +135,9 @@
 	forward.CopyHeaders(out.Header, r.Header)
 	h := out.Header
 	h.Del("Authorization") // the API key is for the entry only
+	if t.call.organisations != nil {
+		t.entry.dialect.RemoveCredentials(h)
+	}
 	t.call.origin.Set(h)
 	if t.toOwner {
 		h.Set(forward.HeaderOperation, r.Header.Get(forward.HeaderIdempotencyKey))
@@ -144,7 +147,10 @@
 		t.addRoutingHeaders(h)
 		t.addBaseline(h)
 	}
-	h.Set(forward.HeaderCustomer, t.call.customer.Name)
+	h.Set(forward.HeaderCustomer, t.call.base.Name)
+	if t.call.customer.Organisation {
+		h.Set(forward.HeaderOrganisation, t.call.customer.Name)
+	}
 	h.Set(forward.HeaderRequestID, t.call.id)
 	h.Set(forward.HeaderPriority, strconv.Itoa(t.call.priority()))
 	if deadline, ok := ctx.Deadline(); ok {
@@ -244,7 +250,7 @@
 		// sent to another one. With Options.Confirm, every request ends with a digest that the home
 		// daemon asks for, so a request that a broken path lost can be sent to another one too.
 		out.Header.Set("Expect", "100-continue")
-		t.withheld = &withheldBody{ReadCloser: reader}
+		t.withheld = &withheldBody{ReadCloser: reader, check: t.entry.keyCheck(t.call)}
 		reader = t.withheld
 	}
 	forward.SetRequestBody(out, reader)
@@ -263,6 +269,11 @@
 	if failure != nil {
 		return errkind.Wrap(errkind.RequestBroken, failure, "reading the caller's request body failed")
 	}
+	if t.withheld != nil {
+		if refusal := t.withheld.refused(); refusal != nil {
+			return refusal // nothing was read, so no backend server can have the request
+		}
+	}
 	if !t.connected.Load() {
 		return errkind.Wrap(errkind.HomeUnreachable, err, "no connection to the daemon of VM "+t.vm)
 	}
