Enforce the quotas of organisations at daemons with a registry

Cause: daemons with a registry had no limiter, and entries admitted a request only after they had read its body.

- The daemon takes a token for each request of an organisation with a limit, and answers asks of other daemons at /cowslip.quota/1 on the peer listener.
Asks share the connections of the entry.
Customers without a limit cost nothing.
- Limits are checked before the body is read.
A declared length above the limit is still refused first.
Over HTTP/1 net/http reads up to 256 KB of a body before it sends a response; it is told not to.
- A request whose body does not arrive is released as one that did not run.
- A daemon that has heard from no other daemon and not from the store for 2 s grants nothing (Source.Silence in internal/feed; neither Age nor the age of the store tells whether others are heard).
- After a refusal only one request of an entry at a time asks for a part, and a part is left alone at most until its bucket is half full again.

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -69,7 +69,7 @@
 }
 
 // RegistryDaemon is one proxy process whose configuration comes from a registry. It has entry and
-// home like Daemon, but no documents, customer limits or operation keys. It serves once the state
+// home like Daemon, but no documents, shares of limits or operation keys. It serves once the state
 // of the registry is complete, and from the begin of a drain it reports that it is not ready.
 // Create it with NewRegistryDaemon, then call Run once.
 type RegistryDaemon struct {
@@ -82,6 +82,7 @@
 	home  *home.Home
 	guard *peerGuard
 	feed  *feed.Source
+	quota *registryQuota
 
 	// mu guards fresh, table, buildOptions, lastPublish and unpublished.
 	mu sync.Mutex
@@ -158,9 +159,11 @@
 	seed := newIncarnation()
 	suspect := suspicion.Default()
 	d.home = home.New(home.Options{VM: s.VM, Log: log.Part("home"), Seed: seed, Dialect: o.Dialect, Suspicion: &suspect, ReplacementDelay: restartTime, ChargeRetry: d.chargeRetry})
+	transport := forward.NewPeerTransport(forward.PeerOptions{IdleTimeout: peerIdleTimeout, PingAfter: peerPingAfter})
+	d.quota = newRegistryQuota(&s, d.snapshot.Load, d.feed.Silence, transport, log.Part("quota"))
 	d.entry = entry.New(entry.Options{
 		VM: s.VM, Locality: catalog.Locality{DataCentre: s.DataCentre, Region: s.Region}, Snapshot: d.snapshot.Load, Incarnation: seed,
-		Leaving: d.leaving.Load, Stopping: d.stopping.Load, Transport: forward.NewPeerTransport(forward.PeerOptions{IdleTimeout: peerIdleTimeout, PingAfter: peerPingAfter}), Observer: requestMetrics{d.metrics}, Seed: seed,
+		Leaving: d.leaving.Load, Stopping: d.stopping.Load, Transport: transport, Limiter: d.quota, Observer: requestMetrics{d.metrics}, Seed: seed,
 		Log: log.Part("entry"), Dialect: o.Dialect, OriginService: func() string { return *d.originService.Load() },
 		Retry: registryRetryOptions, Confirm: true, MaxWait: maxCapacityWait, Configured: d.configured, Outdated: d.feed.Outdated,
 		Balance: balance.Options{RegionWide: true, ExcludeAvoided: true, LoadTTL: loadReportTTL, SubsetSize: preferredBackends},
@@ -264,11 +267,12 @@
 }
 
 // controlHandler serves the requests of other daemons that are not for a backend server: streams of
-// the registry's content.
+// the registry's content, and asks for tokens of quotas.
 func (d *RegistryDaemon) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(feed.Path, d.feed.Handler())
 	mux.Handle(feed.ConfigurationPath, d.feed.Handler())
+	mux.Handle(quotaPath, d.quota)
 	return mux
 }
 
@@ -306,6 +310,7 @@
 func (d *RegistryDaemon) tick(now time.Time, expireEntry bool) {
 	d.expireTable(now)
 	d.home.Tick(now)
+	d.quota.tick(now)
 	if expireEntry {
 		d.entry.Expire(now)
 	}
--- a/internal/daemon/registrymetrics.go
+++ b/internal/daemon/registrymetrics.go
@@ -21,6 +21,7 @@
 	set.NewGauge("cowslip_registry_followers", func() float64 { return float64(d.feed.Followers()) })
 	set.NewGauge("cowslip_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 	set.RegisterMetricsWriter(d.writeFeedMetrics)
+	set.RegisterMetricsWriter(d.quota.writeMetrics)
 }
 
 // writeFeedMetrics writes the counts of the feed.
--- a/internal/daemon/registrypublish.go
+++ b/internal/daemon/registrypublish.go
@@ -108,6 +108,7 @@
 	if !d.fresh {
 		return
 	}
+	d.quota.update(now, d.table.Registrations(), &d.buildOptions)
 	for _, err := range d.home.Apply(next) {
 		d.log.Part("home").Warn("The detector settings of a service are invalid.", "err", err)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -102,8 +102,9 @@
 // Limiter enforces the rate and concurrency limits of contracts. Its methods are called
 // concurrently.
 type Limiter interface {
-	// Admit admits one request. It may wait shortly for a part of the limit that another daemon is
-	// about to grant. If it returns nil, Release must be called at the end of the request.
+	// Admit admits one request, whose body has not been read. It may wait shortly for a part of the
+	// limit that another daemon is about to grant. If it returns nil, Release must be called at the end
+	// of the request.
 	Admit(ctx context.Context, c *catalog.Customer) *errkind.Error
 	// Release ends an admitted request of the customer. mayHaveRun is false if it certainly did not
 	// run.
@@ -250,16 +251,22 @@
 	c.id = id
 	ctx, cancel := context.WithDeadline(r.Context(), received.Add(requestTimeout(c.route, caller)))
 	defer cancel()
-	if err := c.readUpload(ctx, w, r); err != nil {
+	if err := checkDeclaredLength(r, c.customer); err != nil {
 		e.failRequest(w, err)
 		return
 	}
 	if err := e.limiter.Admit(ctx, c.customer); err != nil {
+		answerBeforeBody(w, r)
 		e.failRequest(w, err)
 		return
 	}
 	mayHaveRun := true // handle may panic in the middle of a response
 	defer func() { e.limiter.Release(c.customer.Name, mayHaveRun) }()
+	if err := c.readUpload(ctx, w, r); err != nil {
+		mayHaveRun = false
+		e.failRequest(w, err)
+		return
+	}
 	handle := e.forward
 	if c.route.AtMostOnce {
 		handle = e.serveAtMostOnce
--- a/internal/entry/upload.go
+++ b/internal/entry/upload.go
@@ -71,8 +71,8 @@
 // if the body exceeds the customer's limit, or if reading it fails.
 func newUpload(r *http.Request, customer *catalog.Customer) (*upload, error) {
 	u := &upload{length: r.ContentLength, limit: customer.Limits.MaxRequestBytes, customer: customer.Name}
-	if r.ContentLength > u.limit {
-		return nil, u.tooLargeError()
+	if err := checkDeclaredLength(r, customer); err != nil {
+		return nil, err
 	}
 	if r.ContentLength > maxBufferedUploadBytes {
 		u.stream = r.Body
@@ -106,8 +106,26 @@
 	return nil
 }
 
-func (u *upload) tooLargeError() error {
-	return errkind.New(errkind.RequestTooLarge, fmt.Sprintf("the request body exceeds maxRequestBytes of the contract of %s, which is %d bytes", u.customer, u.limit))
+func (u *upload) tooLargeError() error { return tooLargeError(u.customer, u.limit) }
+
+func tooLargeError(customer string, limit int64) error {
+	return errkind.New(errkind.RequestTooLarge, fmt.Sprintf("the request body exceeds maxRequestBytes of the contract of %s, which is %d bytes", customer, limit))
+}
+
+// checkDeclaredLength returns an error if the request declares a body above the customer's limit.
+func checkDeclaredLength(r *http.Request, customer *catalog.Customer) error {
+	if r.ContentLength > customer.Limits.MaxRequestBytes {
+		return tooLargeError(customer.Name, customer.Limits.MaxRequestBytes)
+	}
+	return nil
+}
+
+// answerBeforeBody has the response sent without the request body. Over HTTP/1, net/http otherwise
+// reads up to 256 KB of it first.
+func answerBeforeBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		http.NewResponseController(w).EnableFullDuplex() //nolint:errcheck // HTTP/2 needs none
+	}
 }
 
 // isLarge reports whether the body is larger than largeBodyBytes. A streamed body counts as large.
--- a/internal/feed/silence_test.go
+++ b/internal/feed/silence_test.go
@@ -211,3 +211,42 @@
 		}
 	}
 }
+
+// Guards against a daemon that does not know that it is cut off, and against one that takes itself to be
+// cut off while it hears from others, whether or not the store answers.
+func TestSilenceGrowsOnlyWithoutContact(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRegion(14)
+		r.registerAll()
+		r.startAll()
+		defer r.stopAll()
+		r.until(t, "all serve after a start", startBound, func(n *regionNode) bool { return n.source.Fresh() })
+		watch := func(what string, d time.Duration) {
+			for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				for _, name := range r.names {
+					if got := r.nodes[name].source.Silence(); got >= 2*time.Second {
+						t.Fatalf("%s: %s has heard of nobody for %v", what, name, got)
+					}
+				}
+			}
+		}
+		watch("calm", 10*time.Second)
+		for _, name := range r.names {
+			unanswered(r.nodes[name], true)
+		}
+		watch("the store answers nobody", 10*time.Second)
+		for _, i := range []int{0, 9} {
+			n := r.nodes[r.names[i]]
+			cutOff(n, true)
+			time.Sleep(2 * time.Second)
+			if got := n.source.Silence(); got < 1900*time.Millisecond {
+				t.Errorf("%s was cut off for 2 s and heard of somebody %v ago", r.names[i], got)
+			}
+			cutOff(n, false)
+			time.Sleep(contactTime)
+			if got := n.source.Silence(); got >= 2*time.Second {
+				t.Errorf("%s has heard of nobody for %v after the cut", r.names[i], got)
+			}
+		}
+	})
+}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -80,6 +80,8 @@
 	// the last time at which a reader was known to reach the store. They are in nanoseconds since
 	// start.
 	confirmed, reached atomic.Int64
+	// heard is the last time at which another daemon or the store was heard of, whatever it said.
+	heard atomic.Int64
 	// announcedContact is the value of reached that was last announced to the followers.
 	announcedContact atomic.Int64
 	// brokenStreams counts the streams that broke, failedTransfers the transfers of a configuration,
@@ -258,6 +260,9 @@
 		return
 	}
 	contact := int64(s.reader.reader.LastContact().Sub(s.start))
+	if s.reader.reader.StoreAvailable() {
+		raise(&s.heard, contact)
+	}
 	if s.readerCurrent() {
 		raise(&s.confirmed, contact)
 	}
--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -46,6 +46,15 @@
 	return max(s.elapsed()-time.Duration(s.confirmed.Load()), 0)
 }
 
+// Silence returns the time since this daemon heard of another one that it follows, or of the store,
+// whatever they said. Any goroutine may call it.
+func (s *Source) Silence() time.Duration {
+	s.mu.Lock()
+	s.noteReader()
+	s.mu.Unlock()
+	return s.elapsed() - time.Duration(s.heard.Load())
+}
+
 // storeAge returns the time since a reader was known to reach the store.
 func (s *Source) storeAge() time.Duration {
 	s.mu.Lock()
@@ -82,6 +91,7 @@
 func (s *Source) handleFrame(st *stream, f frame) {
 	elapsed := int64(time.Since(s.start))
 	st.lastFrame.Store(elapsed)
+	raise(&s.heard, elapsed)
 	st.complete = st.complete || f.Full && f.Complete
 	if f.Full || len(f.Changes) > 0 || f.RemovalHoldMs > 0 {
 		s.apply(registry.Update{Changes: f.Changes, Revision: f.Revision, Full: f.Full, RemovalHold: time.Duration(f.RemovalHoldMs) * time.Millisecond})
--- a/internal/quota/taker.go
+++ b/internal/quota/taker.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +25,8 @@
 	// maxBlock bounds how long a part that refused is not asked again. Its holder may know of a raised
 	// limit by then, or of tokens that others did not come back for.
 	maxBlock = 500 * time.Millisecond
+	// contendedTime is how long after a block only one request at a time asks for a part.
+	contendedTime = 500 * time.Millisecond
 	// maxAsks bounds the holders that are asked for one request.
 	maxAsks = 4
 	// usesPerExtra is the number of requests in the last second for which one more token is asked for.
@@ -97,51 +101,6 @@
 	asks, unanswered uint64
 }
 
-// organisation is the state of an organisation at an entry. Times are since the start of the Taker.
-type organisation struct {
-	hash     uint64
-	division division
-	plan     *Plan
-	// parts are those of all regions, region by region.
-	parts []partState
-	// atHand are tokens that no request uses, used those of requests, returns those to be returned.
-	atHand, used, returns []lot
-	// turn chooses among other parts. spread distributes the times to come back.
-	turn   uint32
-	spread float64
-	// second is the number of a second, with the requests in it and in the one before.
-	second        int64
-	uses, usesAgo int
-	lastSeen      time.Duration
-}
-
-// partState is what the entry knows of one part.
-type partState struct {
-	// holder is the index of the holder in its region, or -1; it is valid for organisation.plan.
-	holder int32
-	// blockedUntil is the time until which the part is not asked, place the time at which its holder
-	// told to come back, and distance how far ahead that was. place is 0 if it told nothing.
-	blockedUntil, place, distance time.Duration
-}
-
-// lot is a number of tokens that were granted together.
-type lot struct {
-	part         int32 // index in organisation.parts
-	tokens       int32
-	epoch, stamp uint32
-	until        time.Duration
-}
-
-func (l lot) sameGrant(other lot) bool {
-	return l.part == other.part && l.epoch == other.epoch && l.stamp == other.stamp
-}
-
-// one returns one token of the lot.
-func (l lot) one() lot {
-	l.tokens = 1
-	return l
-}
-
 // NewTaker returns a Taker without a plan for the entry on the VM self.
 func NewTaker(now time.Time, self, region string, bounds Bounds) *Taker {
 	return &Taker{
@@ -192,15 +151,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	elapsed, o := now.Sub(t.start), a.last
+	i := a.region*o.division.regionParts + a.Ask.Part
+	if i < len(o.parts) && o.plan == t.plan {
+		o.parts[i].asking = false
+	} else {
+		i = -1 // the limits or the daemons have changed since
+	}
 	if !answered {
 		t.unanswered++
 		t.silent[a.VM] = elapsed + silencePause
 		return t.next(elapsed, o, a)
 	}
-	i := a.region*o.division.regionParts + a.Ask.Part
-	if i >= len(o.parts) || o.plan != t.plan {
-		i = -1 // the limits or the daemons have changed since
-	}
 	switch answer.Status {
 	case Granted:
 		granted := lot{part: int32(i), tokens: int32(answer.Tokens), epoch: answer.Epoch, stamp: answer.Stamp, until: a.askedAt + tokenLife}
@@ -277,12 +238,11 @@
 		return false
 	}
 	p := &o.parts[i]
-	if p.blockedUntil > elapsed {
-		if p.place == 0 {
-			return false
+	if p.isBlocked(elapsed) {
+		if p.place > 0 {
+			o.spread = math.Mod(o.spread+math.Phi, 1)
+			a.noteRefusal(max(p.place-elapsed, 0) + time.Duration(o.spread*float64(max(p.distance, seconds(1/o.division.rate)))))
 		}
-		o.spread = math.Mod(o.spread+math.Phi, 1)
-		a.noteRefusal(p.place - elapsed + time.Duration(o.spread*float64(max(p.distance, seconds(1/o.division.rate)))))
 		return false
 	}
 	if p.holder == unknownHolder {
@@ -298,6 +258,7 @@
 func (t *Taker) ask(elapsed time.Duration, o *organisation, i int, a *Attempt) {
 	region := i / o.division.regionParts
 	m := &o.plan.members[region][o.parts[i].holder]
+	o.parts[i].asking = true
 	t.asks++
 	a.asks++
 	a.region, a.VM, a.Address, a.Far, a.askedAt = region, m.vm, m.address, region != t.home, elapsed
@@ -319,7 +280,8 @@
 // refuse ends an attempt without a token.
 func (t *Taker) refuse(elapsed time.Duration, o *organisation, a *Attempt) Decision {
 	if a.refused {
-		a.RetryAfter = max(a.RetryAfter, time.Millisecond)
+		// Times are named in whole milliseconds. A caller that is early finds no token.
+		a.RetryAfter = max(a.RetryAfter+time.Millisecond-1, time.Millisecond).Truncate(time.Millisecond)
 		return Limited
 	}
 	o.spread = math.Mod(o.spread+math.Phi, 1)
@@ -389,6 +351,32 @@
 	}
 }
 
+// maxDescribedParts bounds the parts of a description by Holders.
+const maxDescribedParts = 12
+
+// Holders describes which VMs hold the parts of the organisation's quota, for the log.
+func (t *Taker) Holders(name string, limits Limits) fmt.Stringer { return holders{t, name, limits} }
+
+type holders struct {
+	taker  *Taker
+	name   string
+	limits Limits
+}
+
+// String returns REGION/PART=VM for the first parts.
+func (h holders) String() string {
+	h.taker.mu.Lock()
+	p := h.taker.plan
+	h.taker.mu.Unlock()
+	d := h.taker.bounds.divide(h.limits, len(p.regions))
+	var text []string
+	for i := range min(d.parts(len(p.regions)), maxDescribedParts) {
+		region, part := p.regions[i/d.regionParts], i%d.regionParts
+		text = append(text, fmt.Sprintf("%s/%d=%s", region, part, p.Holder(region, h.name, part)))
+	}
+	return strings.Join(text, " ")
+}
+
 // TakerStats are counts of a Taker since its start, and its present number of organisations.
 type TakerStats struct {
 	Asks, Unanswered uint64
@@ -401,69 +389,3 @@
 	defer t.mu.Unlock()
 	return TakerStats{t.asks, t.unanswered, len(t.organisations)}
 }
-
-// prepare adapts the state to limits and plan.
-func (o *organisation) prepare(bounds Bounds, limits Limits, p *Plan) {
-	o.division, o.plan = bounds.divide(limits, len(p.regions)), p
-	if n := o.division.parts(len(p.regions)); n != len(o.parts) {
-		// The numbers of the parts mean others now.
-		o.parts, o.returns = make([]partState, n), nil
-		for _, lots := range [][]lot{o.atHand, o.used} {
-			for i := range lots {
-				lots[i].part = -1
-			}
-		}
-	}
-	for i := range o.parts {
-		o.parts[i] = partState{holder: unknownHolder}
-	}
-}
-
-// count counts a request.
-func (o *organisation) count(elapsed time.Duration) {
-	o.lastSeen = elapsed
-	switch second := int64(elapsed / time.Second); second {
-	case o.second:
-	case o.second + 1:
-		o.second, o.usesAgo, o.uses = second, o.uses, 0
-	default:
-		o.second, o.usesAgo, o.uses = second, 0, 0
-	}
-	o.uses++
-}
-
-// expire moves the tokens that are too old to those to be returned.
-func (o *organisation) expire(elapsed time.Duration) {
-	for i := 0; i < len(o.atHand); {
-		if o.atHand[i].until >= elapsed {
-			i++
-			continue
-		}
-		o.returns = add(o.returns, o.atHand[i])
-		o.atHand = slices.Delete(o.atHand, i, i+1)
-	}
-}
-
-// add adds a lot. One that no longer fits is forgotten, so that its tokens are not returned. Forgetting
-// older ones instead would have later requests return tokens as newer than they are.
-func add(lots []lot, l lot) []lot {
-	for i := range lots {
-		if lots[i].sameGrant(l) {
-			lots[i].tokens += l.tokens
-			lots[i].until = min(lots[i].until, l.until)
-			return lots
-		}
-	}
-	if len(lots) >= maxLots {
-		return lots
-	}
-	return append(lots, l)
-}
-
-// removeOne removes one token of the lot i.
-func removeOne(lots []lot, i int) []lot {
-	if lots[i].tokens--; lots[i].tokens > 0 {
-		return lots
-	}
-	return slices.Delete(lots, i, i+1)
-}
