--- a/internal/quota/division.go
+++ b/internal/quota/division.go
@@ -91,14 +91,21 @@
 }
 
 // reducedRate returns the rate of a new holder within takeoverTime if moved parts of the organisation got
-// new holders at the same time.
+// new holders at the same time. It is not reduced if moved is 0.
 func (d *division) reducedRate(moved int) float64 {
+	if moved == 0 {
+		return d.rate
+	}
 	return min(d.overlap/float64(moved)/takeoverTime.Seconds(), d.rate)
 }
 
 // movedAtStart returns how many parts of the organisation one of the daemons of a region is expected to
-// hold at most.
+// hold at most. Without a margin it returns 0: what a start of all daemons would lose weighs more then than
+// what the predecessors of a single daemon that joins may still grant.
 func (d *division) movedAtStart(daemons int) int {
+	if d.overlap == 0 {
+		return 0
+	}
 	return min((2*d.regionParts+daemons-1)/daemons, d.regionParts)
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -153,3 +153,48 @@
 		}
 	}
 }
+
+// Guards against faults that cost organisations at 0.6 of their limits more than the faulty part: after a
+// start of all daemons large organisations get less for two seconds, and otherwise a holder costs its
+// part until the lists lose it.
+func TestRefusalsBelowLimitDuringFaults(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		fault func(*simulation)
+		// share is the highest share of the requests in the 16 s from the fault that may be refused.
+		share float64
+	}{
+		{"region cut off", cutRegion, 0.005},
+		{"holders killed", killHolders, 0.005},
+		{"holders paused", pauseHolders, 0.005},
+		{"daemons join", joinDaemons, 0.005},
+		{"all restarted", restartAll, 0.03},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSimulation(97, threeRegions, 11)
+			for i := range 40 {
+				s.limits[fmt.Sprint("small", i)] = Limits{5, 5}
+			}
+			s.limits["medium"], s.limits["large"] = Limits{20, 20}, Limits{126, 126}
+			for _, organisation := range s.organisations() {
+				s.traffic(organisation, 0.6*s.limits[organisation].Rate, 24*time.Second, s.anyDaemon)
+			}
+			s.run(8 * time.Second)
+			clear(s.admitted)
+			clear(s.refused)
+			clear(s.unreachable)
+			c.fault(s)
+			s.run(25 * time.Second)
+			admitted, refused := 0, 0
+			for _, organisation := range s.organisations() {
+				admitted += s.admitted[organisation]
+				refused += s.refused[organisation] + s.unreachable[organisation]
+			}
+			t.Logf("%d admitted, %d refused", admitted, refused)
+			if float64(refused) > c.share*float64(admitted+refused) {
+				t.Errorf("%d admitted, %d refused", admitted, refused)
+			}
+		})
+	}
+}
