--- a/internal/daemon/registryquota_test.go
+++ b/internal/daemon/registryquota_test.go
@@ -140,7 +140,7 @@
 // Guards against a malformed message that is answered as an ask.
 func TestMalformedAskIsRefused(t *testing.T) {
 	p := newQuotaPair(t, contract.Limits{RatePerSecond: 1, Burst: 1}, false)
-	for _, body := range []string{"", "\x02", "\x01\x00\x01\x00", strings.Repeat("a", quota.MaxMessageBytes+1)} {
+	for _, body := range []string{"", "\x02", "\x01\x00\x01\x00", "\x01\x00\x00\x00acme", strings.Repeat("a", quota.MaxMessageBytes+1)} {
 		w := httptest.NewRecorder()
 		if p.holder.ServeHTTP(w, httptest.NewRequest("POST", quotaPath, strings.NewReader(body))); w.Code != http.StatusBadRequest {
 			t.Errorf("%d bytes: status %d", len(body), w.Code)
@@ -169,3 +169,24 @@
 	}
 	b.ReportMetric(float64(p.traffic.Sent()+p.traffic.Received()-before)/float64(n), "wire-B/op")
 }
+
+// Guards against asks that do not get through the connections between daemons, and against a daemon that
+// does not serve them or takes itself for a holder before it has a configuration.
+func TestAsksOverHTTP2(t *testing.T) {
+	p := newQuotaPair(t, contract.Limits{RatePerSecond: 1, Burst: 1}, true)
+	var a quota.Attempt
+	if d := p.entry.taker.Take(time.Now(), "acme", limitsOf(p.organisation), &a); d != quota.AskHolder || a.VM != "127.0.0.1" {
+		t.Fatalf("decision %d, asks %s", d, a.VM)
+	}
+	for _, want := range []quota.Status{quota.Granted, quota.NotHolder} {
+		if answer, err := p.entry.send(t.Context(), &a); err != nil || answer.Status != want {
+			t.Errorf("%+v, %v, want status %d", answer, err, want)
+		}
+		a.Ask.Organisation = "unknown"
+	}
+	w := httptest.NewRecorder()
+	newUnconfiguredRegistry(t).controlHandler().ServeHTTP(w, httptest.NewRequest("POST", quotaPath, strings.NewReader("\x01\x00\x01\x00acme")))
+	if answer, err := quota.DecodeAnswer(w.Body.Bytes()); w.Code != http.StatusOK || err != nil || answer.Status != quota.NotHolder {
+		t.Errorf("status %d, %+v, %v", w.Code, answer, err)
+	}
+}
--- a/internal/quota/message.go
+++ b/internal/quota/message.go
@@ -88,7 +88,7 @@
 			a.Returns[i] = Return{uint32(r.number(1<<32 - 1)), r.number(maxSlotGrants)}
 		}
 	}
-	if r.failed || len(r.data) == 0 {
+	if r.failed || len(r.data) == 0 || a.Want == 0 {
 		return Ask{}, errMalformed
 	}
 	a.Organisation = string(r.data)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -198,3 +198,47 @@
 		})
 	}
 }
+
+// Guards against two daemons that both hold a part and together pass the bound. Half of the entries know of
+// a new daemon at once, the other half and the earlier holder only when the earlier holder must end without
+// contact, and the organisation is far above its limit at both halves.
+func TestTwoHoldersStayWithinBound(t *testing.T) {
+	for _, l := range []Limits{{20, 1}, {20, 20}, {126, 5}} {
+		t.Run(fmt.Sprint(l), func(t *testing.T) {
+			region := []string{"a"}
+			s := newSimulation(8, region, 5)
+			s.limits["o"] = l
+			s.traffic("o", 4*l.Rate, 24*time.Second, s.anyDaemon)
+			s.run(8 * time.Second)
+			before := s.daemons[0].taker.plan
+			d := &simulatedDaemon{Daemon: Daemon{VM: "new", Region: "a"}}
+			for i := 0; !movesTo(before, d, "o"); i++ {
+				d.VM = fmt.Sprint("new", i)
+			}
+			s.daemons = append(s.daemons, d)
+			s.start(d, region)
+			first, rest := []*simulatedDaemon{d}, []*simulatedDaemon(nil)
+			for i, other := range s.daemons[:8] {
+				if i%2 == 0 && other.VM != before.Holder("a", "o", 0) {
+					first = append(first, other)
+				} else {
+					rest = append(rest, other)
+				}
+			}
+			all := func(*simulatedDaemon) bool { return true }
+			s.setPlansOf(first, region, all, 0)
+			s.after(takeoverTime, func() { s.setPlansOf(rest, region, all, 0) })
+			s.run(27 * time.Second)
+			s.checkWindows(t)
+		})
+	}
+}
+
+// movesTo reports whether the first part of the organisation moves to the daemon when it joins.
+func movesTo(before *Plan, d *simulatedDaemon, organisation string) bool {
+	var daemons []Daemon
+	for _, m := range before.members[0] {
+		daemons = append(daemons, Daemon{m.vm, "a", ""})
+	}
+	return NewPlan(before.regions, append(daemons, d.Daemon)).Holder("a", organisation, 0) == d.VM
+}
