Withdraw an ask that a request no longer needs

A request that ended between two asks left its part marked as asked, so that other requests of an organisation above its limit did not ask for up to a second, and lost the tokens that it was to return. Answers also name the part by the division that was in force when it was asked for.

--- a/internal/daemon/registryquota.go
+++ b/internal/daemon/registryquota.go
@@ -126,6 +126,7 @@
 	decision := q.taker.Take(time.Now(), c.Name, limits, &a)
 	for decision == quota.AskHolder {
 		if ctx.Err() != nil {
+			q.taker.Withdraw(&a)
 			return errkind.New(errkind.DeadlineBeforeRun, "the request ended while it waited for a token of its organisation's quota")
 		}
 		answer, err := q.ask(&a)
--- a/internal/quota/taker.go
+++ b/internal/quota/taker.go
@@ -62,7 +62,10 @@
 
 	region  int
 	askedAt time.Duration
-	asks    int
+	// plan and regionParts are those of the ask.
+	plan        *Plan
+	regionParts int
+	asks        int
 	// stage is the group of parts that is asked next.
 	stage stage
 	// refused is true if a holder, or what one said lately, refused. farRefused is true if no further
@@ -151,12 +154,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	elapsed, o := now.Sub(t.start), a.last
-	i := a.region*o.division.regionParts + a.Ask.Part
-	if i < len(o.parts) && o.plan == t.plan {
-		o.parts[i].asking = false
-	} else {
-		i = -1 // the limits or the daemons have changed since
-	}
+	i := t.asked(a)
 	if !answered {
 		t.unanswered++
 		t.silent[a.VM] = elapsed + silencePause
@@ -195,6 +193,29 @@
 	return t.next(elapsed, o, a)
 }
 
+// Withdraw ends an attempt after AskHolder without an ask.
+func (t *Taker) Withdraw(a *Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if i := t.asked(a); i >= 0 {
+		for _, r := range a.Ask.Returns {
+			a.last.returns = add(a.last.returns, lot{part: int32(i), tokens: int32(r.Tokens), epoch: a.Ask.Epoch, stamp: r.Stamp})
+		}
+	}
+}
+
+// asked notes that an ask has ended and returns the index of its part, or -1 if limits or daemons have
+// changed since.
+func (t *Taker) asked(a *Attempt) int {
+	o := a.last
+	if o.plan != t.plan || a.plan != t.plan || a.regionParts != o.division.regionParts {
+		return -1
+	}
+	i := a.region*a.regionParts + a.Ask.Part
+	o.parts[i].asking = false
+	return i
+}
+
 // next chooses the daemon to ask, or decides without one.
 func (t *Taker) next(elapsed time.Duration, o *organisation, a *Attempt) Decision {
 	for ; a.stage < noPart && a.asks < maxAsks && t.home >= 0; a.stage++ {
@@ -259,6 +280,7 @@
 	region := i / o.division.regionParts
 	m := &o.plan.members[region][o.parts[i].holder]
 	o.parts[i].asking = true
+	a.plan, a.regionParts = o.plan, o.division.regionParts
 	t.asks++
 	a.asks++
 	a.region, a.VM, a.Address, a.Far, a.askedAt = region, m.vm, m.address, region != t.home, elapsed
--- a/internal/quota/unit_test.go
+++ b/internal/quota/unit_test.go
@@ -183,6 +183,12 @@
 	for range 20 {
 		k.Release(origin.Add(3*time.Second), "o", false)
 	}
+	// A request that ends before it asks returns nothing yet.
+	var left Attempt
+	if d := k.Take(origin.Add(3*time.Second), "o", l, &left); d != AskHolder || len(left.Ask.Returns) == 0 {
+		t.Fatalf("decision %d, returns %v", d, left.Ask.Returns)
+	}
+	k.Withdraw(&left)
 	b := h.buckets[partKey{"o", 0}]
 	before := b.grants
 	a := take(3 * time.Second)
