--- a/internal/daemon/registrymetrics.go
+++ b/internal/daemon/registrymetrics.go
@@ -25,6 +25,7 @@
 	set.NewGauge("cowslip_registry_followers", func() float64 { return float64(d.feed.Followers()) })
 	set.NewGauge("cowslip_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 	set.RegisterMetricsWriter(d.writeFeedMetrics)
+	set.RegisterMetricsWriter(d.quota.writeMetrics)
 }
 
 // organisations returns the organisations in force, nil if there are none.
