--- a/internal/daemon/registrypublish.go
+++ b/internal/daemon/registrypublish.go
@@ -64,7 +64,7 @@
 		return d.fresh || len(*d.feedPeers.Load()) == 0
 	}
 	c, _ := d.table.Configuration()
-	return c != d.configurationInForce // also at the same version: it may revoke a key
+	return c != d.configurationInForce
 }
 
 // publishDelayed puts changes in force that publishSoon has delayed, until ctx ends.
