Confirm the configuration through readers and streams

Cause: the age of what a daemon knows is made for liveness. A frame that stood in a buffer makes it younger, a probe may be outdated, and a watch with changes counts as of its arrival. A lease on the trust in API keys needs a moment before which nothing newer was acknowledged. Change: internal/keylease keeps confirmations (a moment and the revision of the configuration that was the newest one then), adopts them once that configuration is in force, and converts moments between the clocks of two daemons with pings, of which each bounds the moment from below. Readers confirm as of the begin of a call, or the end of a wait without changes, and wait less after changes. A status passes on the sender's confirmation; a ping in 5 s and stream suffices. Without feed.Options.Keys nothing changes. Ruled out: pings upstream on the stream each 0.6 s, which cost eight times the messages and have the sender's clock trusted for the same time.

--- /dev/null
+++ b/internal/feed/confirm.go
@@ -0,0 +1,211 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/keylease"
+	"github.com/cowsliprun/cowsliprun/internal/pause"
+	"github.com/cowsliprun/cowsliprun/internal/recovery"
+	"github.com/cowsliprun/cowsliprun/internal/registry"
+)
+
+// ClockPath is the path at the peer listener that answers with the reading of the daemon's clock.
+const ClockPath = Path + "/clock"
+
+const (
+	// pingTimeout bounds a ping. The answer has a few dozen bytes.
+	pingTimeout = time.Second
+	// minPingRetryInterval is the time after the first failed ping until the next one. It doubles up
+	// to maxPingRetryInterval.
+	minPingRetryInterval = 100 * time.Millisecond
+	maxPingRetryInterval = time.Second
+	// maxClockAnswerBytes bounds the answer to a ping.
+	maxClockAnswerBytes = 256
+	// confirmationStep is how much later than the last one announced a confirmation is when a status
+	// is due before the next heartbeat.
+	confirmationStep = 300 * time.Millisecond
+	// minLeaseLogInterval is the shortest time between two log lines that the keys are not confirmed.
+	minLeaseLogInterval = 10 * time.Second
+)
+
+// clockReading is the answer to a ping.
+type clockReading struct {
+	// Clock identifies the clock, and AtNs is its reading in nanoseconds.
+	Clock uint64 `json:"clock"`
+	AtNs  int64  `json:"atNs"`
+}
+
+// peerConfirmation is a confirmation by the clock of another daemon.
+type peerConfirmation struct {
+	keylease.Confirmation
+	clock uint64
+}
+
+// ConfirmedAge returns the time since the moment as of which the configuration in force is known to
+// have been the newest one, or the longest duration before there is one. It must not be called without
+// Options.Keys. Any goroutine may call it.
+func (s *Source) ConfirmedAge() time.Duration { return s.options.Keys.Age() }
+
+// serveClock answers a ping.
+func (s *Source) serveClock(w http.ResponseWriter, _ *http.Request) {
+	if s.options.Keys == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	// Without an answer the other daemon has nothing to tell a confirmation from.
+	_ = json.NewEncoder(w).Encode(clockReading{s.hub.clock, int64(s.options.Keys.Now())})
+}
+
+// pingPeer sends pings to a daemon that is followed, until ctx ends.
+func (s *Source) pingPeer(ctx context.Context, st *stream) {
+	retryInterval := minPingRetryInterval
+	for {
+		interval := keylease.PingInterval
+		if err := recovery.Call(func() error { return s.ping(ctx, st) }); err == nil {
+			retryInterval = minPingRetryInterval
+			s.offerConfirmation(st)
+			s.announceConfirmation()
+		} else {
+			interval = retryInterval
+			retryInterval = min(2*retryInterval, maxPingRetryInterval)
+		}
+		if !pause.For(ctx, interval) {
+			return
+		}
+	}
+}
+
+// ping sends one ping.
+func (s *Source) ping(ctx context.Context, st *stream) error {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	u := url.URL{Scheme: "http", Host: st.peer.Address, Path: ClockPath}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
+	if err != nil {
+		return err
+	}
+	sent := s.options.Keys.Now()
+	resp, err := s.options.Transport.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("clock of another daemon: got HTTP status %d, want 200", resp.StatusCode)
+	}
+	var reading clockReading
+	if err := json.NewDecoder(http.MaxBytesReader(nil, resp.Body, maxClockAnswerBytes)).Decode(&reading); err != nil {
+		return err
+	}
+	st.pings.Add(keylease.Ping{Sent: sent, Received: time.Duration(reading.AtNs), Answered: s.options.Keys.Now(), Clock: reading.Clock})
+	return nil
+}
+
+// confirm tells the lease of an update that is applied. If the store has confirmed it, this daemon has
+// all configurations up to its revision.
+func (s *Source) confirm(u registry.Update) {
+	switch {
+	case s.options.Keys == nil:
+	case u.ConfirmedAt > 0:
+		s.options.Keys.Offer(keylease.Confirmation{At: u.ConfirmedAt, Configuration: s.configurations.revision.Load()})
+	default:
+		s.options.Keys.Adopt()
+	}
+}
+
+// noteConfirmation takes the confirmation that a daemon has passed on. Only the goroutine of the
+// stream calls it.
+func (s *Source) noteConfirmation(st *stream, status *status) {
+	if s.options.Keys == nil {
+		return
+	}
+	if status.Clock != 0 {
+		st.clock = status.Clock
+	}
+	if st.clock == 0 || status.ConfirmedMs <= 0 {
+		return
+	}
+	c := keylease.Confirmation{At: time.Duration(status.ConfirmedMs) * time.Millisecond, Configuration: status.ConfirmedConfiguration}
+	st.confirmation.Store(&peerConfirmation{c, st.clock})
+	s.offerConfirmation(st)
+}
+
+// offerConfirmation tells the lease of the latest confirmation of a peer, once there is a ping to
+// convert its moment with.
+func (s *Source) offerConfirmation(st *stream) {
+	c := st.confirmation.Load()
+	if c == nil {
+		return
+	}
+	if at, ok := st.pings.Localize(s.options.Keys.Now(), c.clock, c.At); ok {
+		s.options.Keys.Offer(keylease.Confirmation{At: at, Configuration: c.Configuration})
+	}
+}
+
+// addConfirmation adds the latest confirmation to a status, rounded down.
+func (s *Source) addConfirmation(out *status) {
+	if s.options.Keys == nil {
+		return
+	}
+	latest := s.options.Keys.Latest()
+	out.ConfirmedMs, out.ConfirmedConfiguration = latest.At.Milliseconds(), latest.Configuration
+}
+
+// announceConfirmation sends a status to the followers if there is a much later confirmation than the
+// last status had that was sent before its time. Waiting for a heartbeat would add to the age at each
+// daemon on the way. A daemon that reaches the store sends one after each response anyway.
+func (s *Source) announceConfirmation() {
+	if s.options.Keys == nil || s.storeAvailable() {
+		return
+	}
+	latest, announced := int64(s.options.Keys.Latest().At), s.announcedConfirmation.Load()
+	if latest-announced >= int64(confirmationStep) && s.announcedConfirmation.CompareAndSwap(announced, latest) {
+		s.hub.wake()
+	}
+}
+
+// wakeFollowers sends a status to the followers.
+func (s *Source) wakeFollowers() {
+	if s.options.Keys != nil {
+		raise(&s.announcedConfirmation, int64(s.options.Keys.Latest().At))
+	}
+	s.hub.wake()
+}
+
+// leaseLog is what was logged about the lease. Only reconcile uses it.
+type leaseLog struct {
+	lost bool
+	// count is how often the lease was lost. at is the time of the last line that it was.
+	count int
+	at    time.Time
+	// logged is set if the loss was logged.
+	logged bool
+}
+
+// logLease logs when the keys are no longer confirmed, at most once in minLeaseLogInterval, and when
+// they are again. The caller holds mu.
+func (s *Source) logLease(now time.Time) {
+	keys, l := s.options.Keys, &s.leaseLog
+	if keys == nil || !keys.Confirmed() || l.lost == !keys.Fresh() {
+		return
+	}
+	l.lost = !l.lost
+	log := s.options.Log
+	switch {
+	case l.lost:
+		l.count++
+		l.logged = l.at.IsZero() || now.Sub(l.at) >= minLeaseLogInterval
+		if l.logged {
+			l.at = now
+			log.Warn("The API keys are no longer confirmed; requests with a key are refused.", "age", keys.Age(), "losses", l.count, "configuration", s.configurations.revision.Load(),
+				"announced", s.announced.Load(), "store_age", s.elapsed()-time.Duration(s.reached.Load()), "reads", s.reader != nil, "followed", s.describeFollowed())
+		}
+	case l.logged:
+		log.Info("The API keys are confirmed again.", "age", keys.Age(), "configuration", keys.Latest().Configuration)
+	}
+}
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -93,6 +93,12 @@
 	// StoreAgeMs is the time in milliseconds since the store was known to answer a reader. It is less
 	// than AgeMs while a change is on its way.
 	StoreAgeMs int64 `json:"storeAgeMs,omitempty"`
+	// ConfirmedMs and ConfirmedConfiguration are the latest keylease.Confirmation of the sender, by its
+	// own clock in milliseconds. 0 means that there is none.
+	ConfirmedMs            int64  `json:"confirmedMs,omitempty"`
+	ConfirmedConfiguration uint64 `json:"confirmedConfiguration,omitempty"`
+	// Clock identifies the sender's clock. Only the first status of a stream has it.
+	Clock uint64 `json:"clock,omitempty"`
 }
 
 // age returns AgeMs as a duration, storeAge StoreAgeMs.
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -42,6 +42,8 @@
 	removalHold func() time.Duration
 	// report is told why a frame could not be encoded.
 	report func(error)
+	// clock identifies the clock of confirmations, 0 if there are none.
+	clock uint64
 
 	// closed is closed to end all streams.
 	closed chan struct{}
@@ -98,6 +100,8 @@
 	needsFull bool
 	// reader is set if the follower relies on this daemon to read the store.
 	reader bool
+	// knowsClock is set once the follower was sent the clock. Only the goroutine of the stream uses it.
+	knowsClock bool
 }
 
 func newHub() *hub {
@@ -211,6 +215,9 @@
 // are further ones. Its status is as of before, so it never tells of a change that is not sent.
 func (h *hub) take(f *follower) (frames [][]byte, changed <-chan struct{}) {
 	statusNow := h.currentStatus()
+	if !f.knowsClock {
+		statusNow.Clock = h.clock
+	}
 	statusFrame := frame{Status: &statusNow, RemovalHoldMs: h.removalHold().Milliseconds()}
 	statusData, err := statusFrame.encode()
 	if err != nil {
@@ -232,6 +239,7 @@
 		}
 		f.next = h.firstNumber + len(h.recent)
 		frames = append(frames, statusData)
+		f.knowsClock = true
 	}
 	return frames, h.changed
 }
--- a/internal/feed/region_test.go
+++ b/internal/feed/region_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/keylease"
 	"github.com/cowsliprun/cowsliprun/internal/registry"
 	"github.com/cowsliprun/cowsliprun/internal/telemetry"
 )
@@ -38,6 +39,8 @@
 	names               []string
 	// linkBytesPerSecond is the bandwidth of each VM's link. 0 means unlimited.
 	linkBytesPerSecond int64
+	// newLease returns the lease of a daemon on the trust in keys. It is nil if there are none.
+	newLease func(n *regionNode) *keylease.Lease
 }
 
 // regionNode is one daemon of a region.
@@ -52,6 +55,10 @@
 	started, killed, cutOff atomic.Bool
 	// sentBytes counts what the daemon has sent to followers.
 	sentBytes atomic.Int64
+	// held, if set, delays what the daemon sends and gets until it is closed.
+	held atomic.Pointer[chan struct{}]
+	// lease is nil if the region has none.
+	lease *keylease.Lease
 	// uplink carries what the daemon sends, if the region's links are limited.
 	uplink link
 
@@ -65,7 +72,13 @@
 
 // newNarrowRegion returns a region whose VMs have links of limited bandwidth. 0 means unlimited.
 func newNarrowRegion(size int, linkBytesPerSecond int64) *region {
-	r := &region{store: newMemoryStore(), nodes: map[string]*regionNode{}, linkBytesPerSecond: linkBytesPerSecond}
+	return newRegionWithLeases(size, linkBytesPerSecond, nil)
+}
+
+// newRegionWithLeases returns a region whose daemons have leases on the trust in keys, unless newLease
+// is nil.
+func newRegionWithLeases(size int, linkBytesPerSecond int64, newLease func(n *regionNode) *keylease.Lease) *region {
+	r := &region{store: newMemoryStore(), nodes: map[string]*regionNode{}, linkBytesPerSecond: linkBytesPerSecond, newLease: newLease}
 	for i := range size {
 		r.names = append(r.names, fmt.Sprintf("vm%04d", i))
 		r.add(r.names[i])
@@ -83,10 +96,13 @@
 // add makes a daemon that has yet to start.
 func (r *region) add(vm string) {
 	n := &regionNode{region: r, vm: vm, table: registry.NewTable(), done: make(chan struct{})}
+	if r.newLease != nil {
+		n.lease = r.newLease(n)
+	}
 	n.source = New(Options{
 		Self: vm, DataCentre: dataCentreOf(vm), Store: regionStore{daemonStore{r.store, vm}, r}, Transport: n, Peers: n.knownPeers, Apply: n.apply,
 		State:       func() []registry.Change { n.mu.Lock(); defer n.mu.Unlock(); return n.table.Changes() },
-		RemovalHold: func() time.Duration { return 0 }, LinkBytesPerSecond: float64(r.linkBytesPerSecond), Log: telemetry.Discard(),
+		RemovalHold: func() time.Duration { return 0 }, LinkBytesPerSecond: float64(r.linkBytesPerSecond), Keys: n.lease, Log: telemetry.Discard(),
 	})
 	r.nodes[vm] = n
 }
@@ -165,6 +181,9 @@
 		<-req.Context().Done()
 		return nil, req.Context().Err()
 	}
+	if !to.awaitRelease(req.Context()) || !n.awaitRelease(req.Context()) {
+		return nil, req.Context().Err()
+	}
 	r, w := io.Pipe()
 	context.AfterFunc(req.Context(), func() { r.CloseWithError(req.Context().Err()) })
 	writer := &regionWriter{from: to, to: n, pipe: w, ctx: req.Context(), status: make(chan int, 1)}
@@ -211,6 +230,9 @@
 		<-w.ctx.Done()
 		return 0, w.ctx.Err()
 	}
+	if !w.from.awaitRelease(w.ctx) || !w.to.awaitRelease(w.ctx) {
+		return 0, w.ctx.Err()
+	}
 	w.WriteHeader(http.StatusOK)
 	w.from.sentBytes.Add(int64(len(p)))
 	if w.narrow != nil {
@@ -219,87 +241,18 @@
 	return w.pipe.Write(p)
 }
 
-// regionStore is the store of a region as one daemon sees it.
-type regionStore struct {
-	daemonStore
-	region *region
-}
-
-// call counts calls and takes their time. It returns an error if the store refuses the daemon.
-func (s regionStore) call(ctx context.Context, calls int) error {
-	s.region.calls.Add(int64(calls))
-	return s.roundTrips(ctx, calls)
-}
-
-// roundTrips takes the time of calls.
-func (s regionStore) roundTrips(ctx context.Context, calls int) error {
-	if _, refused := s.region.refused.Load(s.vm); refused {
-		return errors.New("refused")
-	}
-	if err := s.awaitAnswer(ctx); err != nil {
-		return err
-	}
-	wait := storeLatency * time.Duration(calls)
-	if n := s.region.nodes[s.vm]; n != nil && n.cutOff.Load() {
-		wait = callTimeout
+// awaitRelease waits while what the daemon sends and gets is held. It returns false if ctx ends first.
+func (n *regionNode) awaitRelease(ctx context.Context) bool {
+	held := n.held.Load()
+	if held == nil {
+		return true
 	}
 	select {
+	case <-*held:
+		return true
 	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(wait):
-	}
-	if wait == callTimeout {
-		return errors.New("no answer")
-	}
-	return nil
-}
-
-// awaitAnswer waits until ctx ends, and returns its error, if the store does not answer the daemon.
-func (s regionStore) awaitAnswer(ctx context.Context) error {
-	if _, unanswered := s.region.unanswered.Load(s.vm); !unanswered {
-		return nil
-	}
-	<-ctx.Done()
-	return ctx.Err()
-}
-
-func (s regionStore) List(ctx context.Context, progress func()) ([]registry.Change, uint64, error) {
-	changes, revision, err := s.daemonStore.List(ctx, progress)
-	if err == nil {
-		err = s.call(ctx, 1+len(changes)/regionPageItems)
-	}
-	if err == nil {
-		err = s.region.transfer(ctx, changes, progress)
-	}
-	return changes, revision, err
-}
-
-func (s regionStore) Peek(ctx context.Context) ([]registry.Change, error) {
-	s.region.looks.Add(1)
-	if err := s.roundTrips(ctx, 1); err != nil {
-		return nil, err
-	}
-	changes, err := s.daemonStore.Peek(ctx)
-	return changes[:min(len(changes), regionPageItems)], err
-}
-
-func (s regionStore) Probe(ctx context.Context) error {
-	s.region.probes.Add(1)
-	return s.roundTrips(ctx, 1)
-}
-
-func (s regionStore) Watch(ctx context.Context, after uint64, wait time.Duration, progress func()) ([]registry.Change, uint64, error) {
-	if err := s.call(ctx, 1); err != nil {
-		return nil, 0, err
-	}
-	changes, revision, err := s.daemonStore.Watch(ctx, after, wait, progress)
-	if err == nil {
-		err = s.awaitAnswer(ctx)
-	}
-	if err == nil {
-		err = s.region.transfer(ctx, changes, progress)
+		return false
 	}
-	return changes, revision, err
 }
 
 // until returns how long it takes until the condition holds for all daemons that run and are not
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/keylease"
 	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/registry"
 	"github.com/cowsliprun/cowsliprun/internal/telemetry"
@@ -55,7 +57,10 @@
 	// LinkBytesPerSecond is the bandwidth of the VM's link, 0 if it is not known. Configurations for
 	// other daemons take at most transferShare of it.
 	LinkBytesPerSecond float64
-	Log                *telemetry.Logger
+	// Keys is told of confirmations that the configuration is the newest one. They are passed on to
+	// followers. Default: nil, and there are none.
+	Keys *keylease.Lease
+	Log  *telemetry.Logger
 }
 
 // Source keeps the state of a daemon up to date, from the store or from other daemons, and serves
@@ -82,6 +87,9 @@
 	confirmed, reached atomic.Int64
 	// announcedContact is the value of reached that was last announced to the followers.
 	announcedContact atomic.Int64
+	// announcedConfirmation is the moment of the confirmation that was last announced to the followers.
+	announcedConfirmation atomic.Int64
+	leaseLog              leaseLog
 	// brokenStreams counts the streams that broke, failedTransfers the transfers of a configuration,
 	// and searches how often this daemon began to look for other readers.
 	brokenStreams, failedTransfers, searches atomic.Uint64
@@ -126,6 +134,9 @@
 	s.configurations.pacer.bytesPerSecond = transferShare * options.LinkBytesPerSecond
 	s.awaitReaders()
 	s.hub = newHub()
+	if options.Keys != nil {
+		s.hub.clock = max(rand.Uint64(), 1)
+	}
 	s.hub.pacer.bytesPerSecond = fullStateShare * options.LinkBytesPerSecond
 	s.hub.fullState = func() []registry.Change { return withoutConfiguration(options.State()) }
 	s.hub.currentStatus, s.hub.removalHold, s.hub.report = s.status, options.RemovalHold, s.reportEncoding
@@ -144,6 +155,7 @@
 func (s *Source) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(Path, s.hub)
+	mux.HandleFunc(ClockPath, s.serveClock)
 	mux.HandleFunc(ConfigurationPath, func(w http.ResponseWriter, r *http.Request) {
 		select {
 		case <-s.hub.closed:
@@ -225,6 +237,7 @@
 	v := s.view(now)
 	p := v.decide()
 	s.logSearch(&v)
+	s.logLease(now)
 	wanted := map[string]bool{}
 	for _, peer := range p.readers {
 		wanted[peer.VM] = true
@@ -307,12 +320,18 @@
 		return
 	}
 	s.searches.Add(1)
+	s.options.Log.Info("The store was not heard of in time; looking for other readers.", "age", v.lost, "connected", v.connected, "reads", s.reader != nil, "followed", s.describeFollowed())
+}
+
+// describeFollowed returns the daemons that this one follows and what they have said last, for the
+// log. The caller holds mu.
+func (s *Source) describeFollowed() string {
 	followed := make([]string, 0, len(s.streams))
 	for vm, st := range s.streams {
 		followed = append(followed, st.describe(vm, s.elapsed()))
 	}
 	slices.Sort(followed)
-	s.options.Log.Info("The store was not heard of in time; looking for other readers.", "age", v.lost, "connected", v.connected, "reads", s.reader != nil, "followed", strings.Join(followed, " "))
+	return strings.Join(followed, " ")
 }
 
 // view returns what the decision on the daemon's place depends on. The caller holds mu.
@@ -348,6 +367,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	st := &stream{peer: p, reader: reader, cancel: cancel, complete: s.fresh.Load()}
 	s.streams[p.VM] = st
+	if s.options.Keys != nil {
+		go s.pingPeer(ctx, st)
+	}
 	go func() {
 		defer cancel()
 		err := st.follow(ctx, s.options.Transport, s.completeRevision.Load(), s.handleFrame)
@@ -381,6 +403,9 @@
 			after = min(s.completeRevision.Load(), s.configuredRevision.Load())
 		}
 		run := &readerRun{reader: registry.NewReader(s.options.Store, s.options.Log, after, s.applyFromStore, s.announceReader), cancel: cancel, lastNeeded: now}
+		if s.options.Keys != nil {
+			run.reader.ConfirmWith(s.options.Keys.Now)
+		}
 		s.reader = run
 		all, dependants := s.hub.count()
 		s.options.Log.Info("This daemon starts to read the store.", "after", after, "followers", all, "dependants", dependants)
--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -21,6 +21,7 @@
 		Revision: s.completeRevision.Load(), ConfiguredUpTo: s.configuredRevision.Load(),
 		Reading: s.storeAvailable(), Complete: s.fresh.Load(), AgeMs: s.Age().Milliseconds(), StoreAgeMs: s.storeAge().Milliseconds(),
 	}
+	s.addConfirmation(&out)
 	// A configuration is added before configuredRevision rises, so it is read after it.
 	out.Configuration = s.configurations.revision.Load()
 	return out
@@ -90,11 +91,13 @@
 		return
 	}
 	s.noteAnnouncement(st, f.Status.Configuration)
+	s.noteConfirmation(st, f.Status)
 	if st.complete {
 		r := &receivedStatus{*f.Status, elapsed}
 		st.status.Store(r)
 		s.handleStatus(r)
 	}
+	s.announceConfirmation()
 }
 
 // noteAnnouncement notes the configuration that another daemon has, and has it fetched if it is
@@ -137,7 +140,7 @@
 	s.noteReader()
 	s.mu.Unlock()
 	s.announcedContact.Store(s.reached.Load())
-	s.hub.wake()
+	s.wakeFollowers()
 }
 
 // announceContact sends a status to the followers if the store was heard of much later than the last
@@ -149,7 +152,7 @@
 	}
 	reached, announced := s.reached.Load(), s.announcedContact.Load()
 	if reached-announced >= int64(contactStep) && s.announcedContact.CompareAndSwap(announced, reached) {
-		s.hub.wake()
+		s.wakeFollowers()
 	}
 }
 
@@ -194,6 +197,7 @@
 	defer s.applyMu.Unlock()
 	isNew := s.options.Apply(u)
 	newConfiguration := s.addConfigurations(u.Changes)
+	s.confirm(u)
 	u.Changes = withoutConfiguration(u.Changes)
 	becomesFresh := u.Fresh && !s.fresh.Load()
 	switch {
@@ -202,7 +206,10 @@
 	case isNew && len(u.Changes) > 0:
 		s.hub.send(u.Changes)
 	case newConfiguration:
-		s.hub.wake()
+		s.wakeFollowers()
+	case u.ConfirmedAt > 0 && !isNew && len(u.Changes) > 0:
+		// The changes came on another way before, so nothing else tells the followers.
+		s.wakeFollowers()
 	}
 	if u.Fresh {
 		s.fresh.Store(true)
--- a/internal/feed/stream.go
+++ b/internal/feed/stream.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/keylease"
 	"github.com/cowsliprun/cowsliprun/internal/recovery"
 )
 
@@ -35,6 +36,13 @@
 	// Only the goroutine of the stream uses it.
 	complete bool
 	cancel   context.CancelFunc
+
+	// clock identifies the peer's clock, 0 until it has said that. Only the goroutine of the stream
+	// uses it.
+	clock uint64
+	pings keylease.Pings
+	// confirmation is the peer's latest one, nil before.
+	confirmation atomic.Pointer[peerConfirmation]
 }
 
 // hearsOfStore reports whether the peer has lately said that a reader reaches the store. elapsed is
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/keylease"
 	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/recovery"
 	"github.com/cowsliprun/cowsliprun/internal/telemetry"
@@ -89,6 +90,9 @@
 	// RemovalHold is set after an outage of the store: for this time, removals may be registrations
 	// that expired during the outage and are about to return. It is 0 otherwise.
 	RemovalHold time.Duration
+	// ConfirmedAt is the reading of the clock of Reader.ConfirmWith as of which the update has everything that the store
+	// had acknowledged. 0 means unknown.
+	ConfirmedAt time.Duration
 }
 
 // Reader reads a Store and passes on what it received.
@@ -109,6 +113,8 @@
 	// known to answer.
 	start       time.Time
 	lastContact atomic.Int64
+
+	confirmations confirmations
 }
 
 // NewReader returns a Reader that passes each update to onUpdate, and calls onStatus when LastContact
@@ -118,6 +124,10 @@
 	return &Reader{store: store, log: log, after: after, onUpdate: onUpdate, onStatus: onStatus, start: time.Now()}
 }
 
+// ConfirmWith makes the reader state Update.ConfirmedAt by the clock, and make its watches wait less
+// where the latest one would become too old otherwise. It must be called before Run.
+func (r *Reader) ConfirmWith(clock keylease.Clock) { r.confirmations.clock = clock }
+
 // LastContact returns the time at which the store was last known to answer. Any goroutine may call
 // it.
 func (r *Reader) LastContact() time.Time { return r.start.Add(time.Duration(r.lastContact.Load())) }
@@ -186,6 +196,7 @@
 func (r *Reader) list(ctx context.Context, s *readerState) error {
 	w, callCtx := newWatchdog(ctx, listTimeout)
 	defer w.stop()
+	begin := r.confirmations.now()
 	// The first part of the next page may take as long as that of the first one.
 	changes, revision, err := r.store.List(callCtx, func() {
 		r.noteContact(time.Now())
@@ -198,22 +209,22 @@
 		return errNoRevision // a watch could not continue from it
 	}
 	r.noteContact(time.Now())
-	r.handleResponse(s, Update{Changes: changes, Revision: revision, Full: true, Fresh: true})
+	r.handleResponse(s, Update{Changes: changes, Revision: revision, Full: true, Fresh: true, ConfirmedAt: r.confirmations.ofCall(begin)})
 	return nil
 }
 
 func (r *Reader) watch(ctx context.Context, s *readerState) error {
 	var probes sync.WaitGroup
 	defer probes.Wait()
-	w, callCtx := newWatchdog(ctx, watchWait+responseGrace)
+	wait := r.confirmations.watchWait()
+	w, callCtx := newWatchdog(ctx, wait+responseGrace)
 	defer w.stop()
-	wait := watchWait
 	if s.unconfirmed {
 		wait = 0
 	} else {
 		probes.Go(func() { r.probeDuringWatch(callCtx, w) })
 	}
-	begin := time.Now()
+	begin, clockBegin := time.Now(), r.confirmations.now()
 	changes, revision, err := r.store.Watch(callCtx, s.revision, wait, func() {
 		r.receiving.Store(true)
 		r.noteContact(time.Now())
@@ -225,7 +236,7 @@
 	}
 	// The store answers by the end of the wait.
 	r.noteContact(earlier(time.Now(), begin.Add(wait)))
-	r.handleResponse(s, Update{Changes: changes, Revision: revision})
+	r.handleResponse(s, Update{Changes: changes, Revision: revision, ConfirmedAt: r.confirmations.ofWatch(clockBegin, wait, len(changes) == 0)})
 	r.receiving.Store(false)
 	if len(changes) > 0 {
 		pause.For(ctx, batchDelay)
