Refuse requests with a key while keys are not confirmed

Cause: a daemon that is cut off, paused or behind went on accepting keys that the operator had revoked. Change: with registry.strictRevocation, an entry asks Options.KeysTrusted for a request that was identified by a key, at its admission and, with the key looked up anew, before each hand-over to another daemon. Without a confirmation it answers 503 keys_unconfirmed with Retry-After 0.6, also for an unknown key, which may be new. A model test delays, reorders, pauses and restarts at will. The platform test plays a store that goes away and returns.

--- a/internal/daemon/guard.go
+++ b/internal/daemon/guard.go
@@ -15,9 +15,10 @@
 )
 
 // bootstrapPaths are the paths that are served to peers before there is a configuration, because
-// they deliver it.
+// they deliver it or have to do with its delivery.
 var bootstrapPaths = map[string]bool{
-	feed.Path: true,
+	feed.Path:      true,
+	feed.ClockPath: true,
 	peerapiconnect.PeerServiceExchangeProcedure: true,
 	peerapiconnect.PeerServicePushProcedure:     true,
 	peerapiconnect.PeerServicePullProcedure:     true,
--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -22,6 +22,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/feed"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/home"
+	"github.com/cowsliprun/cowsliprun/internal/keylease"
 	"github.com/cowsliprun/cowsliprun/internal/listener"
 	"github.com/cowsliprun/cowsliprun/internal/pause"
 	"github.com/cowsliprun/cowsliprun/internal/recovery"
@@ -99,6 +100,10 @@
 	snapshot atomic.Pointer[catalog.Snapshot]
 	// configured is closed once there is a snapshot.
 	configured chan struct{}
+	// keys is the lease on the trust in API keys, nil without registry.strictRevocation.
+	// configurationInForce is the revision of the operator's configuration in snapshot.
+	keys                 *keylease.Lease
+	configurationInForce atomic.Uint64
 	// feedPeers are the daemons that the feed may follow. Before the table is fresh they may be
 	// outdated.
 	feedPeers atomic.Pointer[[]feed.Peer]
@@ -140,10 +145,11 @@
 		settings: s, log: log, audit: audit.New(s.VM, audit.DefaultCapacity, o.Log), metrics: metrics.NewSet(),
 		table: registry.NewTable(), publishDue: make(chan struct{}, 1), configured: make(chan struct{}),
 	}
+	d.keys = d.newKeyLease()
 	d.feed = feed.New(feed.Options{
 		Self: s.VM, DataCentre: s.DataCentre, Store: o.Store(s.Registry.URL), Transport: forward.NewPeerTransport(forward.PeerOptions{}),
 		Peers: func() []feed.Peer { return *d.feedPeers.Load() }, Apply: d.applyUpdate, State: d.registryState, RemovalHold: d.removalHold,
-		LinkBytesPerSecond: s.Limits.LinkMbps * bytesPerSecondOfMbps, Log: log.Part("registry"),
+		LinkBytesPerSecond: s.Limits.LinkMbps * bytesPerSecondOfMbps, Keys: d.keys, Log: log.Part("registry"),
 	})
 	d.buildOptions = registry.BuildOptions{
 		Regions: map[string]string{}, PeerPort: peerPort, FloorPercent: int(100 * s.Registry.FloorShare),
@@ -162,7 +168,7 @@
 		VM: s.VM, Locality: catalog.Locality{DataCentre: s.DataCentre, Region: s.Region}, Snapshot: d.snapshot.Load, Incarnation: seed,
 		Leaving: d.leaving.Load, Stopping: d.stopping.Load, Transport: forward.NewPeerTransport(forward.PeerOptions{IdleTimeout: peerIdleTimeout, PingAfter: peerPingAfter}), Observer: requestMetrics{d.metrics}, Seed: seed,
 		Log: log.Part("entry"), Dialect: o.Dialect, OriginService: func() string { return *d.originService.Load() },
-		Retry: registryRetryOptions, Confirm: true, MaxWait: maxCapacityWait, Configured: d.configured, Outdated: d.feed.Outdated,
+		Retry: registryRetryOptions, Confirm: true, MaxWait: maxCapacityWait, Configured: d.configured, Outdated: d.feed.Outdated, KeysTrusted: d.keysTrusted(),
 		Balance: balance.Options{RegionWide: true, ExcludeAvoided: true, LoadTTL: loadReportTTL, SubsetSize: preferredBackends},
 	})
 	d.guard = newPeerGuard(s, log.Part("peer"))
@@ -269,6 +275,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(feed.Path, d.feed.Handler())
 	mux.Handle(feed.ConfigurationPath, d.feed.Handler())
+	mux.Handle(feed.ClockPath, d.feed.Handler())
 	return mux
 }
 
--- a/internal/daemon/registrymetrics.go
+++ b/internal/daemon/registrymetrics.go
@@ -19,6 +19,9 @@
 	set.NewGauge("cowslip_registry_age_seconds", func() float64 { return d.feed.Age().Seconds() })
 	set.NewGauge("cowslip_registry_reader", func() float64 { return boolGauge(d.feed.Reading()) })
 	set.NewGauge("cowslip_registry_followers", func() float64 { return float64(d.feed.Followers()) })
+	if d.keys != nil {
+		set.NewGauge("cowslip_keys_confirmed_age_seconds", d.keysConfirmedAge)
+	}
 	set.NewGauge("cowslip_goroutines", func() float64 { return float64(runtime.NumGoroutine()) })
 	set.RegisterMetricsWriter(d.writeFeedMetrics)
 }
--- a/internal/daemon/registrypublish.go
+++ b/internal/daemon/registrypublish.go
@@ -113,6 +113,8 @@
 	}
 	d.entry.SetRetryLimits(retryLimits(&d.settings.Registry, len(next.VMs())))
 	d.snapshot.Store(next)
+	_, revision := d.table.Configuration()
+	d.configurationInForce.Store(revision)
 	if before == nil {
 		close(d.configured)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -74,6 +74,10 @@
 	// Outdated reports whether a newer configuration than that of Snapshot is known to exist. Until it
 	// is there, a request without a route is refused for now, and not as unknown. Default: never.
 	Outdated func() bool
+	// KeysTrusted reports whether the API keys of Snapshot are known to be valid still. It is asked for
+	// requests with a key at their admission, and with their key looked up anew before each hand-over
+	// to another daemon. Default: nil, and keys are looked up at the admission only.
+	KeysTrusted func() bool
 }
 
 // Observer counts how requests end. Its methods are called concurrently and must not block.
@@ -147,6 +151,7 @@
 	maxWait       time.Duration
 	startWaiter   *startWaiter
 	outdated      func() bool
+	keysTrusted   func() bool
 }
 
 // New returns an Entry with the given options.
@@ -183,7 +188,7 @@
 	}
 	o.Balance.VM, o.Balance.Locality, o.Balance.Random, o.Balance.Now = o.VM, o.Locality, rand.NewPCG(o.Seed, o.Seed), time.Now()
 	return &Entry{
-		dialect: o.Dialect, originService: o.OriginService, confirm: o.Confirm, maxWait: o.MaxWait, startWaiter: newStartWaiter(o.Configured), outdated: o.Outdated,
+		dialect: o.Dialect, originService: o.OriginService, confirm: o.Confirm, maxWait: o.MaxWait, startWaiter: newStartWaiter(o.Configured), outdated: o.Outdated, keysTrusted: o.KeysTrusted,
 		vm: o.VM, region: o.Locality.Region, snapshot: o.Snapshot, transport: o.Transport,
 		incarnation: o.Incarnation, memory: o.Memory, operationBodies: operation.NewUploadBudget(maxOperationBodiesBytes),
 		heldResponses: holdBudget{limit: maxHeldBytes},
@@ -230,6 +235,9 @@
 	body       *upload
 	// origin is what the backend server is told about the caller's connection.
 	origin forward.Origin
+	// identifiedByKey is set if the customer was found by the API key with the digest key.
+	identifiedByKey bool
+	key             catalog.KeyDigest
 }
 
 // serve handles one request of a caller, from its admission to the end of its response.
@@ -303,7 +311,7 @@
 		return nil, err
 	}
 	c, err := e.matchContract(r, r.URL.Path)
-	if err != nil {
+	if err := e.checkKeyAtAdmission(r, c, err); err != nil {
 		return nil, err
 	}
 	if isAmbiguous(c.customer, c.route, r.URL) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -41,6 +41,10 @@
 		if e.stopping() {
 			return failures.result(errkind.New(errkind.Draining, "this daemon ends too soon to hand over further requests"))
 		}
+		if err := e.checkKey(c); err != nil {
+			failures.record(err)
+			return failures.result(err)
+		}
 		choice, err := e.balancer.Pick(time.Now(), c.pickRequest(retryState.Excluded(), rounds.insist))
 		if err != nil {
 			rounds.noteRefusal(errkind.Of(err))
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -29,7 +29,11 @@
 	if service == nil || len(service.BackendServers) == 0 {
 		return nil, errkind.New(errkind.NoBackend, "service "+name+" has no backend servers")
 	}
-	return &call{customer: customer, route: route, service: service}, nil
+	c := &call{customer: customer, route: route, service: service, identifiedByKey: !snapshot.IdentifiesByHost()}
+	if c.identifiedByKey && e.keysTrusted != nil {
+		c.key = catalog.DigestOf(apiKey(r))
+	}
+	return c, nil
 }
 
 // customerOf finds the customer by API key, or by host name if the configuration identifies callers
--- a/internal/registry/confirmation.go
+++ b/internal/registry/confirmation.go
@@ -16,8 +16,8 @@
 	// untrustedWaitDuration is how long a reader does not rely on the wait of watches after the store
 	// has ended one early.
 	untrustedWaitDuration = 30 * time.Second
-	// earlyMargin is by how much a wait may seem too short because the store rounds it.
-	earlyMargin = 10 * time.Millisecond
+	// earlyDivisor gives the part of a wait by which it may be too short and count as rounded.
+	earlyDivisor = 20
 )
 
 // confirmations tell as of which moment the responses of the store hold. Only the goroutine of a
@@ -44,12 +44,8 @@
 	if c.latest == 0 {
 		return watchWait
 	}
-	now := c.clock()
-	longest := watchWait
-	if now < c.untrustedUntil {
-		longest /= 2 // the response confirms as of its begin
-	}
-	return max(min(longest, maxConfirmedAge-(now-c.latest)), minWatchWait).Truncate(time.Millisecond)
+	age := c.clock() - c.latest
+	return max(min(watchWait, maxConfirmedAge-age), minWatchWait).Truncate(time.Millisecond)
 }
 
 // ofCall returns the moment as of which a response holds: the begin of its call. What the store had
@@ -70,7 +66,7 @@
 	if !empty {
 		return c.ofCall(begin)
 	}
-	if now-begin < keylease.Shorten(wait)-earlyMargin {
+	if now-begin < wait-wait/earlyDivisor {
 		// The next one may come as early, and be delayed on its way until the wait is over.
 		c.untrustedUntil = now + untrustedWaitDuration
 	}
