--- a/internal/daemon/registrypublish.go
+++ b/internal/daemon/registrypublish.go
@@ -115,6 +115,9 @@
 	d.snapshot.Store(next)
 	_, revision := d.table.Configuration()
 	d.configurationInForce.Store(revision)
+	if d.keys != nil {
+		d.keys.Adopt() // before the requests that wait for the first configuration
+	}
 	if before == nil {
 		close(d.configured)
 	}
--- a/internal/feed/confirm.go
+++ b/internal/feed/confirm.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -29,8 +30,6 @@
 	// confirmationStep is how much later than the last one announced a confirmation is when a status
 	// is due before the next heartbeat.
 	confirmationStep = 300 * time.Millisecond
-	// minLeaseLogInterval is the shortest time between two log lines that the keys are not confirmed.
-	minLeaseLogInterval = 10 * time.Second
 )
 
 // clockReading is the answer to a ping.
@@ -106,14 +105,24 @@
 	return nil
 }
 
-// confirm tells the lease of an update that is applied. If the store has confirmed it, this daemon has
+// confirm tells the lease of an update of the store that is about to be applied. With it, this daemon has
 // all configurations up to its revision.
 func (s *Source) confirm(u registry.Update) {
-	switch {
-	case s.options.Keys == nil:
-	case u.ConfirmedAt > 0:
-		s.options.Keys.Offer(keylease.Confirmation{At: u.ConfirmedAt, Configuration: s.configurations.revision.Load()})
-	default:
+	if s.options.Keys == nil || u.ConfirmedAt == 0 {
+		return
+	}
+	c := keylease.Confirmation{At: u.ConfirmedAt, Configuration: s.configurations.revision.Load()}
+	for i := range u.Changes {
+		if u.Changes[i].Configuration != nil {
+			c.Configuration = max(c.Configuration, u.Changes[i].Revision)
+		}
+	}
+	s.options.Keys.Offer(c)
+}
+
+// adoptConfirmations tells the lease that an update has been applied.
+func (s *Source) adoptConfirmations() {
+	if s.options.Keys != nil {
 		s.options.Keys.Adopt()
 	}
 }
@@ -130,7 +139,9 @@
 	if st.clock == 0 || status.ConfirmedMs <= 0 {
 		return
 	}
-	c := keylease.Confirmation{At: time.Duration(status.ConfirmedMs) * time.Millisecond, Configuration: status.ConfirmedConfiguration}
+	c := keylease.Confirmation{
+		At: time.Duration(status.ConfirmedMs) * time.Millisecond, Configuration: cmp.Or(status.ConfirmedConfiguration, status.Configuration),
+	}
 	st.confirmation.Store(&peerConfirmation{c, st.clock})
 	s.offerConfirmation(st)
 }
@@ -147,7 +158,8 @@
 	}
 }
 
-// addConfirmation adds the latest confirmation to a status, rounded down.
+// addConfirmation adds the latest confirmation to a status, rounded down. The status must not have its
+// Configuration yet.
 func (s *Source) addConfirmation(out *status) {
 	if s.options.Keys == nil {
 		return
@@ -156,6 +168,20 @@
 	out.ConfirmedMs, out.ConfirmedConfiguration = latest.At.Milliseconds(), latest.Configuration
 }
 
+// confirmationFor leaves out of a status what the follower knows of the confirmation. clock identifies
+// the clock of this daemon.
+func (f *follower) confirmationFor(out *status, clock uint64) {
+	if !f.knowsClock {
+		out.Clock = clock
+	}
+	switch {
+	case out.ConfirmedMs == f.confirmedMs:
+		out.ConfirmedMs, out.ConfirmedConfiguration = 0, 0
+	case out.ConfirmedConfiguration == out.Configuration:
+		out.ConfirmedConfiguration = 0
+	}
+}
+
 // announceConfirmation sends a status to the followers if there is a much later confirmation than the
 // last status had that was sent before its time. Waiting for a heartbeat would add to the age at each
 // daemon on the way. A daemon that reaches the store sends one after each response anyway.
@@ -177,35 +203,18 @@
 	s.hub.wake()
 }
 
-// leaseLog is what was logged about the lease. Only reconcile uses it.
-type leaseLog struct {
-	lost bool
-	// count is how often the lease was lost. at is the time of the last line that it was.
-	count int
-	at    time.Time
-	// logged is set if the loss was logged.
-	logged bool
-}
-
-// logLease logs when the keys are no longer confirmed, at most once in minLeaseLogInterval, and when
-// they are again. The caller holds mu.
-func (s *Source) logLease(now time.Time) {
-	keys, l := s.options.Keys, &s.leaseLog
-	if keys == nil || !keys.Confirmed() || l.lost == !keys.Fresh() {
+// logLease logs when the keys are no longer confirmed, and when they are again. The caller holds mu.
+func (s *Source) logLease() {
+	keys := s.options.Keys
+	if keys == nil || !keys.Confirmed() || s.leaseLost == !keys.Fresh() {
 		return
 	}
-	l.lost = !l.lost
-	log := s.options.Log
-	switch {
-	case l.lost:
-		l.count++
-		l.logged = l.at.IsZero() || now.Sub(l.at) >= minLeaseLogInterval
-		if l.logged {
-			l.at = now
-			log.Warn("The API keys are no longer confirmed; requests with a key are refused.", "age", keys.Age(), "losses", l.count, "configuration", s.configurations.revision.Load(),
-				"announced", s.announced.Load(), "store_age", s.elapsed()-time.Duration(s.reached.Load()), "reads", s.reader != nil, "followed", s.describeFollowed())
-		}
-	case l.logged:
-		log.Info("The API keys are confirmed again.", "age", keys.Age(), "configuration", keys.Latest().Configuration)
+	s.leaseLost = !s.leaseLost
+	// The logger bounds the lines with the same first value.
+	if s.leaseLost {
+		s.options.Log.Warn("The API keys are no longer confirmed; requests with a key are refused.", "reads", s.reader != nil, "age", keys.Age(), "configuration", s.configurations.revision.Load(),
+			"announced", s.announced.Load(), "store_age", s.elapsed()-time.Duration(s.reached.Load()), "followed", s.describeFollowed())
+		return
 	}
+	s.options.Log.Info("The API keys are confirmed again.", "reads", s.reader != nil, "age", keys.Age(), "configuration", keys.Latest().Configuration)
 }
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -94,7 +94,8 @@
 	// than AgeMs while a change is on its way.
 	StoreAgeMs int64 `json:"storeAgeMs,omitempty"`
 	// ConfirmedMs and ConfirmedConfiguration are the latest keylease.Confirmation of the sender, by its
-	// own clock in milliseconds. 0 means that there is none.
+	// own clock in milliseconds. 0 means no other one than the stream has had, and no other revision than
+	// Configuration.
 	ConfirmedMs            int64  `json:"confirmedMs,omitempty"`
 	ConfirmedConfiguration uint64 `json:"confirmedConfiguration,omitempty"`
 	// Clock identifies the sender's clock. Only the first status of a stream has it.
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -100,8 +100,10 @@
 	needsFull bool
 	// reader is set if the follower relies on this daemon to read the store.
 	reader bool
-	// knowsClock is set once the follower was sent the clock. Only the goroutine of the stream uses it.
-	knowsClock bool
+	// knowsClock is set once the follower was sent the clock, and confirmedMs is the confirmation that it
+	// was sent last. Only the goroutine of the stream uses them.
+	knowsClock  bool
+	confirmedMs int64
 }
 
 func newHub() *hub {
@@ -215,9 +217,7 @@
 // are further ones. Its status is as of before, so it never tells of a change that is not sent.
 func (h *hub) take(f *follower) (frames [][]byte, changed <-chan struct{}) {
 	statusNow := h.currentStatus()
-	if !f.knowsClock {
-		statusNow.Clock = h.clock
-	}
+	f.confirmationFor(&statusNow, h.clock)
 	statusFrame := frame{Status: &statusNow, RemovalHoldMs: h.removalHold().Milliseconds()}
 	statusData, err := statusFrame.encode()
 	if err != nil {
@@ -239,7 +239,7 @@
 		}
 		f.next = h.firstNumber + len(h.recent)
 		frames = append(frames, statusData)
-		f.knowsClock = true
+		f.knowsClock, f.confirmedMs = true, max(f.confirmedMs, statusNow.ConfirmedMs)
 	}
 	return frames, h.changed
 }
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -89,7 +89,6 @@
 	announcedContact atomic.Int64
 	// announcedConfirmation is the moment of the confirmation that was last announced to the followers.
 	announcedConfirmation atomic.Int64
-	leaseLog              leaseLog
 	// brokenStreams counts the streams that broke, failedTransfers the transfers of a configuration,
 	// and searches how often this daemon began to look for other readers.
 	brokenStreams, failedTransfers, searches atomic.Uint64
@@ -108,6 +107,8 @@
 	streams map[string]*stream
 	// searching is true while this daemon looks for other readers.
 	searching bool
+	// leaseLost is true while the keys are not confirmed that were.
+	leaseLost bool
 	// lastFollow is the time at which the latest stream began.
 	lastFollow time.Time
 	// avoidUntil maps the ids of VMs that are not followed for now to the end of that time.
@@ -237,7 +238,7 @@
 	v := s.view(now)
 	p := v.decide()
 	s.logSearch(&v)
-	s.logLease(now)
+	s.logLease()
 	wanted := map[string]bool{}
 	for _, peer := range p.readers {
 		wanted[peer.VM] = true
--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -195,9 +195,10 @@
 func (s *Source) apply(u registry.Update) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
+	s.confirm(u)
 	isNew := s.options.Apply(u)
 	newConfiguration := s.addConfigurations(u.Changes)
-	s.confirm(u)
+	s.adoptConfirmations()
 	u.Changes = withoutConfiguration(u.Changes)
 	becomesFresh := u.Fresh && !s.fresh.Load()
 	switch {
