--- a/internal/daemon/registrypublish.go
+++ b/internal/daemon/registrypublish.go
@@ -113,6 +113,11 @@
 	}
 	d.entry.SetRetryLimits(retryLimits(&d.settings.Registry, len(next.VMs())))
 	d.snapshot.Store(next)
+	c, _ := d.table.Configuration()
+	d.versionInForce.Store(c.Version)
+	if d.keys != nil {
+		d.keys.Adopt() // before the requests that wait for the first configuration
+	}
 	if before == nil {
 		close(d.configured)
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,6 +73,10 @@
 	// Outdated reports whether a newer configuration than that of Snapshot is known to exist. Until it
 	// is there, a request without a route is refused for now, and not as unknown. Default: never.
 	Outdated func() bool
+	// KeysTrusted reports whether the API keys of Snapshot are known to be valid still. It is asked for
+	// requests with a key at their admission, and with their key looked up anew before each hand-over
+	// to another daemon. Default: nil, and keys are looked up at the admission only.
+	KeysTrusted func() bool
 }
 
 // Observer counts how requests end. Its methods are called concurrently and must not block.
@@ -148,6 +152,7 @@
 	startWaiter   *startWaiter
 	outdated      func() bool
 	use           organisationUse
+	keysTrusted   func() bool
 }
 
 // New returns an Entry with the given options.
@@ -184,7 +189,7 @@
 	}
 	o.Balance.VM, o.Balance.Locality, o.Balance.Random, o.Balance.Now = o.VM, o.Locality, rand.NewPCG(o.Seed, o.Seed), time.Now()
 	return &Entry{
-		dialect: o.Dialect, originService: o.OriginService, confirm: o.Confirm, maxWait: o.MaxWait, startWaiter: newStartWaiter(o.Configured), outdated: o.Outdated,
+		dialect: o.Dialect, originService: o.OriginService, confirm: o.Confirm, maxWait: o.MaxWait, startWaiter: newStartWaiter(o.Configured), outdated: o.Outdated, keysTrusted: o.KeysTrusted,
 		vm: o.VM, region: o.Locality.Region, snapshot: o.Snapshot, transport: o.Transport,
 		incarnation: o.Incarnation, memory: o.Memory, operationBodies: operation.NewUploadBudget(maxOperationBodiesBytes),
 		heldResponses: holdBudget{limit: maxHeldBytes},
@@ -313,7 +318,7 @@
 		return nil, err
 	}
 	c, err := e.matchContract(r, caller, r.URL.Path)
-	if err != nil {
+	if err := e.checkKeyAtAdmission(c, caller, err); err != nil {
 		return nil, err
 	}
 	if isAmbiguous(c.customer, c.route, r.URL) {
--- a/internal/entry/organisation.go
+++ b/internal/entry/organisation.go
@@ -86,8 +86,12 @@
 }
 
 // recheck returns the identity of a request in the configuration in force. Few requests see another
-// one than at the latest check.
+// one than at the latest check. The snapshot is taken after the keys were found to be confirmed, so
+// that it is at least as new as the configuration that is trusted.
 func (e *Entry) recheck(id identity) (identity, error) {
+	if err := e.trustKey(id); err != nil {
+		return id, err
+	}
 	snapshot := e.snapshot()
 	if snapshot == nil || snapshot.Organisations() == id.organisations {
 		return id, nil
--- a/internal/feed/hub.go
+++ b/internal/feed/hub.go
@@ -42,6 +42,8 @@
 	removalHold func() time.Duration
 	// report is told why a frame could not be encoded.
 	report func(error)
+	// clock identifies the clock of confirmations, 0 if there are none.
+	clock uint64
 
 	// closed is closed to end all streams.
 	closed chan struct{}
@@ -98,6 +100,10 @@
 	needsFull bool
 	// reader is set if the follower relies on this daemon to read the store.
 	reader bool
+	// knowsClock is set once the follower was sent the clock, and confirmedMs is the confirmation that it
+	// was sent last. Only the goroutine of the stream uses them.
+	knowsClock  bool
+	confirmedMs int64
 }
 
 func newHub() *hub {
@@ -211,6 +217,7 @@
 // are further ones. Its status is as of before, so it never tells of a change that is not sent.
 func (h *hub) take(f *follower) (frames [][]byte, changed <-chan struct{}) {
 	statusNow := h.currentStatus()
+	f.confirmationFor(&statusNow, h.clock)
 	statusFrame := frame{Status: &statusNow, RemovalHoldMs: h.removalHold().Milliseconds()}
 	statusData, err := statusFrame.encode()
 	if err != nil {
@@ -232,6 +239,7 @@
 		}
 		f.next = h.firstNumber + len(h.recent)
 		frames = append(frames, statusData)
+		f.knowsClock, f.confirmedMs = true, max(f.confirmedMs, statusNow.ConfirmedMs)
 	}
 	return frames, h.changed
 }
--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -21,6 +21,7 @@
 		Revision: s.completeRevision.Load(), ConfiguredUpTo: s.configuredRevision.Load(),
 		Reading: s.storeAvailable(), Complete: s.fresh.Load(), AgeMs: s.Age().Milliseconds(), StoreAgeMs: s.storeAge().Milliseconds(),
 	}
+	s.addConfirmation(&out)
 	// A configuration is added before configuredRevision rises, so it is read after it.
 	out.Configuration = s.configurations.version.Load()
 	return out
@@ -100,11 +101,13 @@
 		return
 	}
 	s.noteAnnouncement(st, f.Status.Configuration)
+	s.noteConfirmation(st, f.Status)
 	if st.complete {
 		r := &receivedStatus{*f.Status, elapsed}
 		st.status.Store(r)
 		s.handleStatus(r)
 	}
+	s.announceConfirmation()
 }
 
 // noteAnnouncement notes the configuration that another daemon has, and has it fetched if it is
@@ -147,7 +150,7 @@
 	s.noteReader()
 	s.mu.Unlock()
 	s.announcedContact.Store(s.reached.Load())
-	s.hub.wake()
+	s.wakeFollowers()
 }
 
 // announceContact sends a status to the followers if the store was heard of much later than the last
@@ -159,7 +162,7 @@
 	}
 	reached, announced := s.reached.Load(), s.announcedContact.Load()
 	if reached-announced >= int64(contactStep) && s.announcedContact.CompareAndSwap(announced, reached) {
-		s.hub.wake()
+		s.wakeFollowers()
 	}
 }
 
@@ -202,8 +205,10 @@
 func (s *Source) apply(u registry.Update) {
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
+	s.confirm(u)
 	isNew := s.options.Apply(u)
 	newConfiguration := s.addConfigurations(u.Changes)
+	s.adoptConfirmations()
 	u.Changes = withoutConfiguration(u.Changes)
 	becomesFresh := u.Fresh && !s.fresh.Load()
 	switch {
@@ -212,7 +217,10 @@
 	case isNew && len(u.Changes) > 0:
 		s.hub.send(u.Changes)
 	case newConfiguration:
-		s.hub.wake()
+		s.wakeFollowers()
+	case u.ConfirmedAt > 0 && !isNew && len(u.Changes) > 0:
+		// The changes came on another way before, so nothing else tells the followers.
+		s.wakeFollowers()
 	}
 	if u.Fresh {
 		s.fresh.Store(true)
