Tell a reset during an upload from the end of the response

Cause: a backend server that answered a long upload at once, without a length, and reset the connection while the upload was being sent, was taken to have ended its answer. The kernel reports a reset to one system call only. The write of the upload was blocked on a full window, got ECONNRESET, and the read of the answer then returned 0 bytes, which is io.EOF for net/http and the end of a body without a length. A connection that is lost by a time-out ends in the same way.

Change: the connection to a backend server returns io.EOF only if a FIN has arrived. TCP_INFO tells CLOSE-WAIT (FIN, no reset) from CLOSE. In CLOSE, the first error of a write, or the pending error of the socket, is EPIPE if the reset came after a FIN, which is a proper end, and another one if there was none. Without either, the end is not a proper one. A server that closes with unread bytes of the upload sends a reset in place of a FIN; TestCloseWithUnreadUploadCutsTheAnswer covers it. On systems other than Linux a body without a length is never complete.

--- a/internal/forward/backendtransport.go
+++ b/internal/forward/backendtransport.go
@@ -9,7 +9,6 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 )
 
@@ -203,7 +202,7 @@
 			if err != nil {
 				return nil, err
 			}
-			watched := &watchedConn{Conn: conn}
+			watched := newWatchedConn(conn)
 			c.conn.Store(watched)
 			return watched, nil
 		},
@@ -258,59 +257,6 @@
 	}
 }
 
-// watchedConn records whether a read is pending on the connection. net/http reads from an idle
-// connection only when its buffer is empty. A pending read therefore proves that nothing of earlier
-// responses is left.
-type watchedConn struct {
-	net.Conn
-	readPending, closed atomic.Bool
-	// idle is set while no response is expected. surplus is set when bytes arrive then.
-	idle, surplus atomic.Bool
-}
-
-// Read implements net.Conn and marks the read as pending while it blocks.
-func (c *watchedConn) Read(p []byte) (int, error) {
-	c.readPending.Store(true)
-	n, err := c.Conn.Read(p)
-	c.readPending.Store(false)
-	if n > 0 && c.idle.Load() {
-		c.surplus.Store(true)
-	}
-	return n, err
-}
-
-// Close implements net.Conn and records that the connection is closed.
-func (c *watchedConn) Close() error {
-	c.closed.Store(true)
-	return c.Conn.Close()
-}
-
-// hasUnreadInput reports whether bytes or the end of the connection are waiting in the socket. It
-// returns false for connections that are not sockets.
-func (c *watchedConn) hasUnreadInput() bool {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	var one [1]byte
-	var peekErr error
-	// Control is used because Read would wait for net/http's pending read.
-	if err := raw.Control(func(fd uintptr) {
-		var n int
-		n, _, peekErr = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		if n > 0 {
-			c.surplus.Store(true)
-		}
-	}); err != nil {
-		return true
-	}
-	return peekErr != syscall.EAGAIN && peekErr != syscall.EINTR
-}
-
 // backendBody is a response body that hands its connection back when it is closed.
 type backendBody struct {
 	io.ReadCloser
