Deliver an early answer although its upload could not be sent

Cause: net/http closes the connection as soon as a write fails. A backend server that answers an upload early and closes gets further bytes of the upload and answers them with a reset. The answer, whole and already received, was then lost: the caller got an error with an unknown outcome.

TestEarlyAnswerIsDelivered failed before with answers until the end, with a length and chunked: "use of closed network connection" in the body, and "broken pipe" in place of the head.

Change: a failed write on a connection to a backend server returns only once its input has ended or it was closed. If nothing was received, the read fails and ends the request as before.

--- a/internal/forward/reset_test.go
+++ b/internal/forward/reset_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -131,3 +132,39 @@
 		}
 	}
 }
+
+// Guards against a whole answer that is lost because the upload to which it is an early answer could
+// not be sent to its end.
+func TestEarlyAnswerIsDelivered(t *testing.T) {
+	const attempts = 20
+	text := strings.Repeat("x", 3000)
+	for name, answer := range map[string]string{
+		"until the end": "HTTP/1.1 200 OK\r\n\r\n" + text,
+		"length":        "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3000\r\n\r\n" + text,
+		"chunked":       "HTTP/1.1 413 Content Too Large\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\nbb8\r\n" + text + "\r\n0\r\n\r\n",
+	} {
+		for _, lateReader := range []time.Duration{0, 10 * time.Millisecond} {
+			t.Run(fmt.Sprint(name, " ", lateReader), func(t *testing.T) {
+				t.Parallel()
+				address := startRawServer(t, func(conn *net.TCPConn) {
+					// The server closes with an empty receive buffer, so that the end of its answer is a
+					// proper one. The upload goes on, and is answered with a reset.
+					reader := bufio.NewReader(conn)
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					io.WriteString(conn, answer)                           //nolint:errcheck // the test would fail
+					conn.CloseWrite()                                      //nolint:errcheck // as above
+					conn.SetReadDeadline(time.Now().Add(time.Millisecond)) //nolint:errcheck // as above
+					io.Copy(io.Discard, reader)                            //nolint:errcheck // ends at the deadline
+				})
+				for range attempts {
+					status, body, err := upload(NewBackendTransport(), address, false, func() { time.Sleep(lateReader) })
+					if err != nil || string(body) != text {
+						t.Fatalf("status %d, %d bytes and the error %v, want the whole answer", status, len(body), err)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/forward/watchedconn.go
+++ b/internal/forward/watchedconn.go
@@ -22,10 +22,15 @@
 	// that failed.
 	writeMu  sync.Mutex
 	writeErr error
+	// inputEnded is closed once nothing more can be read.
+	inputEnded chan struct{}
+	endInput   func()
 }
 
 func newWatchedConn(conn net.Conn) *watchedConn {
-	return &watchedConn{Conn: conn}
+	c := &watchedConn{Conn: conn, inputEnded: make(chan struct{})}
+	c.endInput = sync.OnceFunc(func() { close(c.inputEnded) })
+	return c
 }
 
 // errReset is returned in place of io.EOF for a connection that did not end with a FIN.
@@ -40,13 +45,17 @@
 	if n > 0 && c.idle.Load() {
 		c.surplus.Store(true)
 	}
-	if err == io.EOF && !c.endedProperly() {
-		err = errReset
+	if err != nil {
+		if err == io.EOF && !c.endedProperly() {
+			err = errReset
+		}
+		c.endInput()
 	}
 	return n, err
 }
 
-// Write implements net.Conn and records the first failure.
+// Write implements net.Conn. It reports a failure only after the input has ended: net/http closes
+// the connection on a failed write, and a response that arrived before the failure would be lost.
 func (c *watchedConn) Write(p []byte) (int, error) {
 	c.writeMu.Lock()
 	n, err := c.Conn.Write(p)
@@ -54,6 +63,9 @@
 		c.writeErr = err
 	}
 	c.writeMu.Unlock()
+	if err != nil {
+		<-c.inputEnded
+	}
 	return n, err
 }
 
@@ -91,6 +103,7 @@
 // Close implements net.Conn and records that the connection is closed.
 func (c *watchedConn) Close() error {
 	c.closed.Store(true)
+	c.endInput()
 	return c.Conn.Close()
 }
 
