Refuse a response with an invalid status line

Cause: net/http takes any three characters that form a number for a status: 000, 099, 600, 999 and +20. It also accepts 101 without a request for it, control bytes and a bare CR in the reason, and other versions.

Change: the connection to a backend server checks the status line of each response, interim ones included, before net/http reads it. The error is returned on every later read as well, because net/http passes over one in textproto and would then use the rest of the head.

--- a/internal/forward/backendtransport.go
+++ b/internal/forward/backendtransport.go
@@ -126,7 +126,9 @@
 		}
 		switch state {
 		case connReusable:
-			c.conn.Load().idle.Store(false)
+			conn := c.conn.Load()
+			conn.newResponse.Store(true)
+			conn.idle.Store(false)
 			taken = c
 		case connUnsettled:
 			kept = append(kept, c)
--- /dev/null
+++ b/internal/forward/responsehead.go
@@ -0,0 +1,99 @@
+package forward
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+)
+
+// ErrInvalidResponse means that a backend server sent bytes that are no HTTP/1.1 response.
+var ErrInvalidResponse = errors.New("the bytes of the backend server are no response")
+
+func invalidResponse(reason string) error { return fmt.Errorf("%w: %s", ErrInvalidResponse, reason) }
+
+var (
+	errInvalidStatusLine = invalidResponse("invalid status line")
+	errInvalidStatus     = invalidResponse("status outside 100 to 599, or 101")
+	errLongLine          = invalidResponse("line of the head too long")
+)
+
+// headCheck checks the head of a response, interim responses included, before net/http reads it.
+// net/http accepts any status of three characters that form a number. The zero value expects a
+// status line.
+type headCheck struct {
+	// done is set after the head of the final response.
+	done bool
+	// inFields is set after a status line, interim if that was one of an interim response.
+	inFields, interim bool
+	// partial is the beginning of a line whose end has not arrived.
+	partial []byte
+}
+
+// check checks the next bytes of the connection, and returns an error that wraps ErrInvalidResponse
+// if they cannot belong to a response. It does not change or keep p.
+func (h *headCheck) check(p []byte) error {
+	for !h.done && len(p) > 0 {
+		end := bytes.IndexByte(p, '\n')
+		if end < 0 {
+			if len(h.partial)+len(p) > maxResponseHeadBytes {
+				return errLongLine
+			}
+			h.partial = append(h.partial, p...)
+			return nil
+		}
+		line := p[:end]
+		p = p[end+1:]
+		if len(h.partial) > 0 {
+			line = append(h.partial, line...)
+			h.partial = line[:0]
+		}
+		if n := len(line); n > 0 && line[n-1] == '\r' {
+			line = line[:n-1]
+		}
+		if err := h.checkLine(line); err != nil {
+			return err
+		}
+	}
+	h.partial = nil
+	return nil
+}
+
+func (h *headCheck) checkLine(line []byte) error {
+	switch {
+	case !h.inFields:
+		return h.checkStatusLine(line)
+	case len(line) > 0:
+		return nil
+	}
+	*h = headCheck{done: !h.interim, partial: h.partial}
+	return nil
+}
+
+// checkStatusLine checks a line such as "HTTP/1.1 200 OK". The reason and the blank before it may be
+// missing.
+func (h *headCheck) checkStatusLine(line []byte) error {
+	const begin = len("HTTP/1.1 ")
+	status, reason, _ := bytes.Cut(line[min(begin, len(line)):], []byte(" "))
+	if len(line) < begin || string(line[:7]) != "HTTP/1." || !isDigit(line[7]) || line[8] != ' ' ||
+		len(status) != 3 || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) || hasControlByte(reason) {
+		return errInvalidStatusLine
+	}
+	// Status 101 is valid only if the request asked for another protocol.
+	if status[0] < '1' || status[0] > '5' || string(status) == "101" {
+		return errInvalidStatus
+	}
+	h.inFields, h.interim = true, status[0] == '1'
+	return nil
+}
+
+func isDigit(c byte) bool { return '0' <= c && c <= '9' }
+
+// hasControlByte reports whether text has a control byte other than a tab.
+func hasControlByte(text []byte) bool {
+	for _, c := range text {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/forward/roundtrip_bench_test.go
+++ b/internal/forward/roundtrip_bench_test.go
@@ -39,3 +39,16 @@
 	}
 	b.ReportMetric(float64(processorTime(b)-start)/float64(b.N), "cpu-ns/op")
 }
+
+// BenchmarkHeadCheck is the cost of checking the head of a small response.
+func BenchmarkHeadCheck(b *testing.B) {
+	head := []byte("HTTP/1.1 200 OK\r\nAttempt-Id: 4f1c2b9a77e04d21\r\nContent-Type: application/json\r\nDate: Sun, 06 Dec 2026 12:00:00 GMT\r\n" +
+		"Response-Signature: 3e1b9ac6c1a4f8f1d2e77c51f4c1a1c9\r\nContent-Length: 27\r\n\r\n")
+	b.ReportAllocs()
+	for b.Loop() {
+		var h headCheck
+		if err := h.check(head); err != nil || !h.done {
+			b.Fatal(err)
+		}
+	}
+}
--- a/internal/forward/watchedconn.go
+++ b/internal/forward/watchedconn.go
@@ -17,6 +17,11 @@
 	readPending, closed atomic.Bool
 	// idle is set while no response is expected. surplus is set when bytes arrive then.
 	idle, surplus atomic.Bool
+	// newResponse is set when a response to another request is expected. head checks its head, and
+	// invalid is the error of that. The reading goroutine owns both.
+	newResponse atomic.Bool
+	head        headCheck
+	invalid     error
 
 	// writeMu is held during a write, and guards writeErr, which is the error of the first write
 	// that failed.
@@ -37,13 +42,24 @@
 var errReset = errors.New("the connection was reset or lost")
 
 // Read implements net.Conn and marks the read as pending while it blocks. It returns io.EOF only if
-// the peer has sent everything and then a FIN.
+// the peer has sent everything and then a FIN, and no part of a head that is invalid.
 func (c *watchedConn) Read(p []byte) (int, error) {
 	c.readPending.Store(true)
 	n, err := c.Conn.Read(p)
 	c.readPending.Store(false)
-	if n > 0 && c.idle.Load() {
-		c.surplus.Store(true)
+	if n > 0 {
+		if c.idle.Load() {
+			c.surplus.Store(true)
+		}
+		if c.newResponse.CompareAndSwap(true, false) {
+			c.head = headCheck{}
+		}
+		if c.invalid == nil {
+			c.invalid = c.head.check(p[:n])
+		}
+	}
+	if c.invalid != nil {
+		n, err = 0, c.invalid // on each read, because net/http may ignore an error once
 	}
 	if err != nil {
 		if err == io.EOF && !c.endedProperly() {
