Refuse a response with an invalid field or ambiguous length

Cause: textproto accepts blanks in a field name, so that "X A: b" was passed on and "Content-Length : 5" was no length, with which the body lasted until the end of the connection. It joins folded lines. net/http prefers a transfer coding to a length, and ignores it in HTTP/1.0, where the chunk sizes became part of the body.

TestInvalidResponsesAreErrors failed before with blanks in names of responses, interim responses and trailers, a blank before the colon, folded lines, length and chunked together in both orders, and chunked in HTTP/1.0. What net/http refuses by itself (control bytes, different lengths, signs, a bare CR in a value) is in the table too.

Change: the check of heads covers the fields: each name is a token, no line is folded, a length has digits only and no transfer coding beside it, and HTTP/1.0 has no transfer coding. Tokens are checked by a table: httpguts needs golang.org/x/text, which the module does not use.

--- a/internal/forward/backendtransport.go
+++ b/internal/forward/backendtransport.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	hasBody := req.Method != http.MethodHead && resp.ContentLength != 0
-	resp.Body = &backendBody{ReadCloser: resp.Body, readToEnd: !hasBody, conn: c, id: id, reused: reused, release: func(reuse bool) {
+	resp.Body = &backendBody{ReadCloser: resp.Body, response: resp, readToEnd: !hasBody, conn: c, id: id, reused: reused, release: func(reuse bool) {
 		if !reuse || !t.putIdle(address, c) {
 			c.close()
 		}
@@ -262,6 +262,7 @@
 // backendBody is a response body that hands its connection back when it is closed.
 type backendBody struct {
 	io.ReadCloser
+	response  *http.Response
 	readToEnd bool
 	closed    bool
 	// last is true if the connection must not be used for another request.
@@ -301,6 +302,11 @@
 func (b *backendBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if err == io.EOF {
+		for name := range b.response.Trailer {
+			if !isToken(name) {
+				return n, errInvalidTrailer
+			}
+		}
 		b.readToEnd = true
 	}
 	return n, err
--- a/internal/forward/responsehead.go
+++ b/internal/forward/responsehead.go
@@ -12,19 +12,29 @@
 func invalidResponse(reason string) error { return fmt.Errorf("%w: %s", ErrInvalidResponse, reason) }
 
 var (
-	errInvalidStatusLine = invalidResponse("invalid status line")
-	errInvalidStatus     = invalidResponse("status outside 100 to 599, or 101")
-	errLongLine          = invalidResponse("line of the head too long")
+	errInvalidStatusLine  = invalidResponse("invalid status line")
+	errInvalidStatus      = invalidResponse("status outside 100 to 599, or 101")
+	errInvalidFieldName   = invalidResponse("invalid field name")
+	errFoldedLine         = invalidResponse("obsolete line folding")
+	errInvalidLength      = invalidResponse("invalid length")
+	errAmbiguousLength    = invalidResponse("length and transfer coding together")
+	errCodingInOldVersion = invalidResponse("transfer coding in HTTP/1.0")
+	errInvalidTrailer     = invalidResponse("invalid name of a trailer")
+	errLongLine           = invalidResponse("line of the head too long")
 )
 
 // headCheck checks the head of a response, interim responses included, before net/http reads it.
-// net/http accepts any status of three characters that form a number. The zero value expects a
-// status line.
+// net/http accepts any status of three characters that form a number, blanks in field names, folded
+// lines, and a length next to a transfer coding. It does refuse control bytes in field values and
+// lengths that differ. The zero value expects a status line.
 type headCheck struct {
 	// done is set after the head of the final response.
 	done bool
 	// inFields is set after a status line, interim if that was one of an interim response.
 	inFields, interim bool
+	// oldVersion, hasLength and hasCoding are what the current head has: version HTTP/1.0, a
+	// Content-Length and a Transfer-Encoding.
+	oldVersion, hasLength, hasCoding bool
 	// partial is the beginning of a line whose end has not arrived.
 	partial []byte
 }
@@ -63,7 +73,11 @@
 	case !h.inFields:
 		return h.checkStatusLine(line)
 	case len(line) > 0:
-		return nil
+		return h.checkField(line)
+	case h.hasCoding && h.hasLength:
+		return errAmbiguousLength
+	case h.hasCoding && h.oldVersion:
+		return errCodingInOldVersion
 	}
 	*h = headCheck{done: !h.interim, partial: h.partial}
 	return nil
@@ -82,10 +96,63 @@
 	if status[0] < '1' || status[0] > '5' || string(status) == "101" {
 		return errInvalidStatus
 	}
-	h.inFields, h.interim = true, status[0] == '1'
+	h.inFields, h.interim, h.oldVersion = true, status[0] == '1', line[7] == '0'
 	return nil
 }
 
+func (h *headCheck) checkField(line []byte) error {
+	if line[0] == ' ' || line[0] == '\t' {
+		return errFoldedLine
+	}
+	colon := bytes.IndexByte(line, ':')
+	if colon < 0 || !isToken(line[:colon]) {
+		return errInvalidFieldName
+	}
+	name, value := line[:colon], line[colon+1:]
+	switch {
+	case isField(name, "content-length"):
+		h.hasLength = true
+		if !isNumber(bytes.Trim(value, " \t")) {
+			return errInvalidLength
+		}
+	case isField(name, "transfer-encoding"):
+		h.hasCoding = true
+	}
+	return nil
+}
+
+// tokenBytes marks the bytes of a token (RFC 9110, section 5.6.2).
+var tokenBytes = func() (is [256]bool) {
+	for _, c := range []byte("!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ") {
+		is[c] = true
+	}
+	return is
+}()
+
+// isToken reports whether text is a token. httpguts has such a check, but needs golang.org/x/text.
+func isToken[T string | []byte](text T) bool {
+	for i := range len(text) {
+		if !tokenBytes[text[i]] {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+// isField reports whether name is the field name lower, in any case.
+func isField(name []byte, lower string) bool {
+	return len(name) == len(lower) && bytes.EqualFold(name, []byte(lower))
+}
+
+func isNumber(text []byte) bool {
+	for _, c := range text {
+		if !isDigit(c) {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
 // hasControlByte reports whether text has a control byte other than a tab.
