Reset the connection of an HTTP/1.0 caller whose answer breaks off

Cause: an answer without a length goes to a caller with HTTP/1.1 in chunks, and breaks off without the last one. A caller with HTTP/1.0 gets it until the end of the connection, and net/http closes that properly when a handler aborts: the broken answer looked complete.

Change: the handler of the callers' listener takes such a connection over and closes it with a reset. A connection of a listener with a limit now has the methods of net.TCPConn. It lacked SetLinger, and CloseWrite, with which net/http ends a connection whose request was not read to its end.

--- a/internal/daemon/stall.go
+++ b/internal/daemon/stall.go
@@ -38,6 +38,9 @@
 		return
 	}
 	if v == http.ErrAbortHandler || w.wroteHeader {
+		if w.wroteHeader && r.ProtoMajor == 1 && r.ProtoMinor == 0 {
+			w.reset()
+		}
 		panic(v)
 	}
 	if server, ok := r.Context().Value(http.ServerContextKey).(*http.Server); ok && server.ErrorLog != nil {
@@ -47,6 +50,19 @@
 	forward.WriteError(w, errkind.New(errkind.Internal, "the daemon failed while it served the request"))
 }
 
+// reset ends the connection with a reset. For a caller with HTTP/1.0 the proper end of the connection
+// is the end of a response without a length.
+func (s *stallWriter) reset() {
+	conn, _, err := s.control.Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		tcp.SetLinger(0) //nolint:errcheck // it fails only if the connection has ended
+	}
+	conn.Close() //nolint:errcheck // as above
+}
+
 // stallReader sets a new read deadline before each read of a request body.
 type stallReader struct {
 	io.ReadCloser
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -124,18 +124,19 @@
 	if l.slots == nil {
 		return c
 	}
-	return &conn{Conn: c, release: sync.OnceFunc(l.release)}
+	return &conn{TCPConn: c.(*net.TCPConn), release: sync.OnceFunc(l.release)}
 }
 
-// conn is an accepted connection of a listener with a limit.
+// conn is an accepted connection of a listener with a limit. It has the methods of a net.TCPConn:
+// net/http ends a connection with CloseWrite if a request was not read to its end.
 type conn struct {
-	net.Conn
+	*net.TCPConn
 	release func()
 }
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
-	err := c.Conn.Close()
+	err := c.TCPConn.Close()
 	c.release()
 	return err
 }
