Deliver the end of an answer to callers that sent ahead

Cause: the kernel ends a socket with a reset if received bytes are unread at the close or arrive later, and drops what it has not sent. net/http waits 500 ms before such a close only after a request body that was not read to its end. An answer with "Connection: close", as every one is during a planned stop, to a caller with further requests behind it lost its end.

Change: the close of a caller's connection with bytes in either direction sends a FIN only. What arrives is then discarded, up to 16 MiB, until the caller has closed too or has taken nothing for a second; the connection counts against the limit until then. A stop waits for these within its limits. Idle connections, and connections that break off with a reset, close at once.

--- a/internal/daemon/callerconn_test.go
+++ b/internal/daemon/callerconn_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,17 +27,26 @@
 	})
 }
 
-// callersAddress serves the callers of the fleet's entry through a listener as a daemon has it.
-func callersAddress(t *testing.T, fleet *testFleet) string {
+// serveCallers serves the callers of the fleet's entry through a listener as a daemon has it. With
+// leaving set, each answer closes its connection.
+func serveCallers(t *testing.T, fleet *testFleet) (l *listener.Listener, server *http.Server, leaving *atomic.Bool) {
 	t.Helper()
 	l, err := listener.Listen("127.0.0.1:0", 100)
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := newCallersServer(settings.Default().Limits, fleet.entry.Config.Handler)
+	leaving = &atomic.Bool{}
+	server = newCallersServer(settings.Default().Limits, closeWhenLeaving(leaving.Load, fleet.entry.Config.Handler))
 	server.ErrorLog = newServerErrorLog(telemetry.Discard(), "callers")
 	go server.Serve(l) //nolint:errcheck // ends with Close
 	t.Cleanup(func() { server.Close() })
+	return l, server, leaving
+}
+
+// callersAddress returns the address of serveCallers.
+func callersAddress(t *testing.T, fleet *testFleet) string {
+	t.Helper()
+	l, _, _ := serveCallers(t, fleet)
 	return l.Addr().String()
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -230,11 +230,14 @@
 }
 
 // stopServing accepts the connections that clients have opened, closes the listener and waits until
-// all requests have their responses. It returns the error of ctx if ctx ends first.
+// all requests have their responses, and those have been delivered. It returns the error of ctx if
+// ctx ends before the last response.
 func stopServing(ctx context.Context, l *listener.Listener, server *http.Server) error {
 	l.Drain(ctx)
 	pause.For(ctx, acceptedGracePeriod)
-	return server.Shutdown(ctx)
+	err := server.Shutdown(ctx)
+	l.WaitLingering(ctx)
+	return err
 }
 
 // modeChanged records that the detector changed the mode of a backend server.
--- a/internal/daemon/registrydrain.go
+++ b/internal/daemon/registrydrain.go
@@ -56,6 +56,7 @@
 		if err := d.callers.server.Shutdown(answers); err != nil {
 			log.Warn("Requests of callers are aborted without a response.", "err", err)
 		}
+		d.callers.listener.WaitLingering(answers)
 	}
 	if err := <-homeDrained; err != nil {
 		log.Warn("The drain stop limit has passed; requests to backend servers are aborted.", "err", err)
--- /dev/null
+++ b/internal/listener/conn.go
@@ -0,0 +1,87 @@
+package listener
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/cowsliprun/cowsliprun/internal/pause"
+)
+
+const (
+	// lingerTime is how long a closed connection waits for its peer to close it too, or to take more
+	// of what was sent.
+	lingerTime = time.Second
+	// lingerBytes bounds the received bytes that are discarded meanwhile.
+	lingerBytes = 16 << 20
+	// lingerPoll is how often WaitLingering looks.
+	lingerPoll = 5 * time.Millisecond
+)
+
+// conn is an accepted connection of a listener with a limit. It has the methods of a net.TCPConn:
+// net/http ends a connection with CloseWrite if a request was not read to its end.
+type conn struct {
+	*net.TCPConn
+	listener *Listener
+	// closed is set by the first Close, abortive by SetLinger(0).
+	closed, abortive atomic.Bool
+}
+
+// SetLinger sets the behaviour of Close, see net.TCPConn.
+func (c *conn) SetLinger(seconds int) error {
+	c.abortive.Store(seconds == 0)
+	return c.TCPConn.SetLinger(seconds)
+}
+
+// Close implements net.Conn. The kernel ends a socket with a reset if received bytes are unread or
+// arrive later, and drops what it has not sent. If a caller sent requests ahead, or goes on sending
+// an upload that was answered early, it would lose the end of its answer. Close therefore only sends
+// a FIN if there are bytes in either direction, and leaves the rest to the background.
+func (c *conn) Close() error {
+	if c.closed.Swap(true) {
+		return net.ErrClosed
+	}
+	if unread, unsent := c.queued(); c.abortive.Load() || unread == 0 && unsent == 0 {
+		defer c.listener.release()
+		return c.TCPConn.Close()
+	}
+	c.listener.lingering.Add(1)
+	go func() {
+		defer c.listener.release()
+		defer c.listener.lingering.Add(-1)
+		c.linger()
+		c.TCPConn.Close() //nolint:errcheck // nobody is left to be told
+	}()
+	return nil
+}
+
+// linger sends a FIN and discards what arrives until the peer closes the connection, or has taken
+// nothing more for lingerTime.
+func (c *conn) linger() {
+	c.CloseWrite() //nolint:errcheck // reads fail then too
+	input := io.LimitReader(c.TCPConn, lingerBytes)
+	for before := -1; ; {
+		c.SetReadDeadline(time.Now().Add(lingerTime)) //nolint:errcheck // as above
+		_, err := io.Copy(io.Discard, input)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		}
+		_, unsent := c.queued()
+		if unsent == 0 || unsent == before {
+			return
+		}
+		before = unsent
+	}
+}
+
+// WaitLingering waits until the last bytes of closed connections have been delivered, or until ctx
+// ends. The end of the process would reset these connections.
+func (l *Listener) WaitLingering(ctx context.Context) {
+	for l.lingering.Load() > 0 && ctx.Err() == nil {
+		pause.For(ctx, lingerPoll)
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +29,8 @@
 	draining, drained chan struct{}
 	drainOnce         sync.Once
 	closeOnce         sync.Once
+	// lingering counts the closed connections whose last bytes are being delivered.
+	lingering atomic.Int64
 }
 
 // Listen opens a listener that keeps at most maxConnections open, or any number if that is 0.
@@ -124,21 +127,7 @@
 	if l.slots == nil {
 		return c
 	}
-	return &conn{TCPConn: c.(*net.TCPConn), release: sync.OnceFunc(l.release)}
-}
-
-// conn is an accepted connection of a listener with a limit. It has the methods of a net.TCPConn:
-// net/http ends a connection with CloseWrite if a request was not read to its end.
-type conn struct {
-	*net.TCPConn
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	err := c.TCPConn.Close()
-	c.release()
-	return err
+	return &conn{TCPConn: c.(*net.TCPConn), listener: l}
 }
 
 // acceptWaiting returns the next connection of the accept queue without waiting. If there is none,
