Refuse responses of the platform that may be cut or are others

Cause: a value is passed on as it is, and a response without a length ends with the connection. If a component on the way broke it off, part of the value was taken for the whole. An object without a revision, or null, was an empty list. Redirects were followed, and a head could have 10 MB.

TestOddResponsesOfThePlatformAreErrors failed before: cut values, values until the end of the connection, redirects and a head of 1 MB with each call, null and an empty object with lists.

Change: a response needs a length or chunks, and a list the field revision. Redirects are errors, and a head has at most 64 KiB.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -20,6 +20,8 @@
 	// maxListBytes is the largest accepted size of the lists of changes and VMs. 1,200 VMs or 600
 	// values take about 60 KB.
 	maxListBytes = 1 << 20
+	// maxHeadBytes bounds the head of a response. net/http allows 10 MB by default.
+	maxHeadBytes = 64 << 10
 	// DefaultTimeout is the timeout of a call, in addition to the wait of a watch. The platform
 	// normally responds within milliseconds.
 	DefaultTimeout = 3 * time.Second
@@ -86,8 +88,14 @@
 		MaxIdleConnsPerHost: 2,
 		MaxConnsPerHost:     4,
 		IdleConnTimeout:     90 * time.Second,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	return &Client{baseURL: opts.BaseURL, timeout: opts.Timeout, http: &http.Client{Transport: transport}}
+	return &Client{baseURL: opts.BaseURL, timeout: opts.Timeout, http: &http.Client{
+		Transport: transport,
+		// A redirect is no response of the platform.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // Calls returns the number of requests sent, including failed ones. A watch counts as one.
@@ -131,9 +139,14 @@
 	if err != nil {
 		return err
 	}
-	if err := json.Unmarshal(data, out); err != nil {
+	// Without a revision it is another JSON value, such as null.
+	var required struct{ Revision *uint64 }
+	if err := errors.Join(json.Unmarshal(data, &required), json.Unmarshal(data, out)); err != nil {
 		return &Error{Malformed, call, err}
 	}
+	if required.Revision == nil {
+		return &Error{Malformed, call, errors.New("the response has no revision")}
+	}
 	return nil
 }
 
@@ -160,6 +173,8 @@
 		return nil, nil, &Error{Unreachable, call, err}
 	case int64(len(data)) > maxBytes:
 		return nil, nil, &Error{Kind: TooLarge, Call: call}
+	case response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed:
+		return nil, nil, &Error{Malformed, call, errors.New("the response has neither a length nor chunks, so it may be cut")}
 	}
 	return data, response.Header, nil
 }
