Keep the kinds of responses with an invalid head

The check of heads made an invalid head AnswerInvalid. net/http refuses others by itself, and those are BackendBroken, with the same outcome, unknown. TestUnusualBackendResponses requires that for "not HTTP", and AnswerInvalid for an unasked 101, which the home refuses by itself. So the check leaves 101 to the home, and the home's kinds are as before; the case is in that test, no longer in that of package forward. TestHomeLogsBrokenBackendResponse names the new text of the cause.

TestUnusualBackendResponses also has status 000 and 600, a blank in a name and a length next to chunks, from the backend server to the caller.

--- a/internal/entry/log_test.go
+++ b/internal/entry/log_test.go
@@ -182,7 +182,7 @@
 func TestHomeLogsBrokenBackendResponse(t *testing.T) {
 	for name, c := range map[string]struct{ response, want string }{
 		"closed connection": {"", "kind=backend_broken cause="},
-		"not HTTP":          {secretBody + "\r\n\r\n", `kind=backend_broken cause="net/http: HTTP/1.x transport connection broken: malformed HTTP response"`},
+		"not HTTP":          {secretBody + "\r\n\r\n", `kind=backend_broken cause="the bytes of the backend server are no response: invalid status line"`},
 		"cut response":      {fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n%s", secretBody), `kind=answer_invalid cause="unexpected EOF"`},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/entry/responses_test.go
+++ b/internal/entry/responses_test.go
@@ -128,6 +128,10 @@
 		{"wrong digest of a chunked body", "GET", chunked + digest("ok") + "\r\n2\r\nko\r\n0\r\n\r\n", 502, "backend_broken", "", false, -2},
 		{"wrong digest of a large body", "GET", fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", digest("ok"), large, body), 200, "", body, true, large},
 		{"two Content-Length that differ", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nokk", 502, "backend_broken", "", false, -2},
+		{"status 000", "GET", "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok", 502, "backend_broken", "", false, -2},
+		{"status 600", "GET", "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok", 502, "backend_broken", "", false, -2},
+		{"blank in a name", "GET", "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\nok", 502, "backend_broken", "", false, -2},
+		{"length next to chunks", "GET", chunked + "Content-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n", 502, "backend_broken", "", false, -2},
 		{"not HTTP", "GET", "SSH-2.0-x\r\n\r\n", 502, "backend_broken", "", false, -2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/forward/responsehead.go
+++ b/internal/forward/responsehead.go
@@ -13,7 +13,7 @@
 
 var (
 	errInvalidStatusLine  = invalidResponse("invalid status line")
-	errInvalidStatus      = invalidResponse("status outside 100 to 599, or 101")
+	errInvalidStatus      = invalidResponse("status outside 100 to 599")
 	errInvalidFieldName   = invalidResponse("invalid field name")
 	errFoldedLine         = invalidResponse("obsolete line folding")
 	errInvalidLength      = invalidResponse("invalid length")
@@ -92,11 +92,11 @@
 		len(status) != 3 || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) || hasControlByte(reason) {
 		return errInvalidStatusLine
 	}
-	// Status 101 is valid only if the request asked for another protocol.
-	if status[0] < '1' || status[0] > '5' || string(status) == "101" {
+	if status[0] < '1' || status[0] > '5' {
 		return errInvalidStatus
 	}
-	h.inFields, h.interim, h.oldVersion = true, status[0] == '1', line[7] == '0'
+	// No head follows that of 101, which the home refuses.
+	h.inFields, h.interim, h.oldVersion = true, status[0] == '1' && string(status) != "101", line[7] == '0'
 	return nil
 }
 
--- a/internal/forward/responsehead_test.go
+++ b/internal/forward/responsehead_test.go
@@ -28,7 +28,6 @@
 	"status of two digits":            "HTTP/1.1 20 OK\r\n" + lengthBody,
 	"status of four digits":           "HTTP/1.1 2000 OK\r\n" + lengthBody,
 	"status after two blanks":         "HTTP/1.1  200 OK\r\n" + lengthBody,
-	"status 101":                      "HTTP/1.1 101 Switching Protocols\r\nUpgrade: h2c\r\nConnection: Upgrade\r\n\r\nhello",
 	"version 2":                       "HTTP/2.0 200 OK\r\n" + lengthBody,
 	"control byte in the status line": "HTTP/1.1 200 O\x01K\r\n" + lengthBody,
 	"bare CR in the status line":      "HTTP/1.1 200 O\rK\r\n" + lengthBody,
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -198,9 +198,6 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return errkind.Wrap(errkind.DeadlineExceeded, err, "the backend server did not respond before the deadline")
 	}
-	if errors.Is(err, forward.ErrInvalidResponse) {
-		return errkind.Wrap(errkind.AnswerInvalid, err, "the backend server sent no valid response")
-	}
 	return errkind.Wrap(errkind.BackendBroken, err, "the connection to the backend server failed before the response was complete")
 }
 
