Refuse a status outside 200 to 599 from a home daemon

Cause: an entry passed on any status of a home daemon. 600 to 999 reached the caller; below 100 and above 999 net/http panics.

Change: such a response is PathBroken, outcome unknown.

--- a/internal/entry/try.go
+++ b/internal/entry/try.go
@@ -26,6 +26,9 @@
 // clear error or another try.
 const maxBufferedResponseBytes = 64 << 10
 
+// maxStatus is the highest status of a response (RFC 9110, section 15).
+const maxStatus = 599
+
 // maxInterimResponses bounds the interim responses to one try. A home daemon sends two.
 const maxInterimResponses = 8
 
@@ -324,6 +327,9 @@
 	if got := resp.Header.Get(forward.HeaderRequestID); got != t.call.id {
 		return errkind.New(errkind.PathBroken, "the response belongs to another request")
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return errkind.New(errkind.PathBroken, "the response of the home daemon has an invalid status")
+	}
 	if e := forward.ErrorFromResponse(resp); e != nil {
 		t.reportedByHome = e.Kind != errkind.PathBroken
 		return e
