Refuse redirects of the admin listener, and bound heads of peers

Cause: net/http follows the redirect of a POST with a GET. An order of cowslipctl that was redirected seemed carried out if the other server answered with 200. A head from a peer of the configuration exchange could have 10 MB.

TestRedirectedOrderIsRefused failed before: GET and POST ended without an error. The bound of 64 KiB of heads from peers is a setting of net/http and has no test of its own.

--- a/internal/configsync/transport.go
+++ b/internal/configsync/transport.go
@@ -16,6 +16,8 @@
 )
 
 const (
+	// maxHeadBytes bounds the head of a response. net/http allows 10 MB by default.
+	maxHeadBytes = 64 << 10
 	// maxMessageBytes bounds a message. It fits one value of 1 MiB that does not compress, with
 	// its name.
 	maxMessageBytes = 2 << 20
@@ -67,6 +69,8 @@
 		Protocols:       protocols,
 		IdleConnTimeout: 2 * time.Minute,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingIdleTime, PingTimeout: pingTimeout},
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	return &Client{http: &http.Client{Transport: transport}, bytes: &byteCounts{}, clients: map[string]peerapiconnect.PeerServiceClient{}}
 }
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -33,7 +33,11 @@
 }
 
 func newClient(address string, timeout time.Duration) *client {
-	return &client{address: address, timeout: timeout, http: &http.Client{Timeout: timeout}}
+	return &client{address: address, timeout: timeout, http: &http.Client{
+		Timeout: timeout,
+		// net/http would follow a redirect with a GET, whose response says nothing about the order.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
 }
 
 // unreachableError means that the daemon did not respond. Commands then exit with ExitUnreachable.
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -144,3 +145,22 @@
 		}
 	}
 }
+
+// Guards against an order that seems to be carried out because its request was redirected: net/http
+// follows a redirect of a POST with a GET, to whatever server it names.
+func TestRedirectedOrderIsRefused(t *testing.T) {
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		t.Errorf("the other server got %s %s", r.Method, r.URL)
+		io.WriteString(w, "{}") //nolint:errcheck // the test has failed
+	}))
+	defer other.Close()
+	daemon := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusFound))
+	defer daemon.Close()
+	c := newClient(daemon.Listener.Addr().String(), DefaultClientTimeout)
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		var refused *refusedError
+		if err := c.sendJSON(t.Context(), method, "/v1/drain", struct{}{}, nil); !errors.As(err, &refused) || refused.status != http.StatusFound {
+			t.Errorf("%s ends with %v, want a refusal with status 302", method, err)
+		}
+	}
+}
