Count the deadline of a request that was sent ahead from its arrival

Cause: net/http reads a request that was sent ahead only once the one before it has its answer, and the entry counted its time from then. Its caller had given up, and it ran nevertheless.

TestDeadlineCountsFromTheArrival failed before: a request with a time-out of 200 ms behind one of 300 ms was answered, and its backend server ran it.

Change: connections of a listener with a limit note when bytes arrive. Reads of a request's own body do not count as arrivals of the next one. Requests that did not wait are as before.

--- a/internal/daemon/listeners.go
+++ b/internal/daemon/listeners.go
@@ -70,7 +70,8 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           withStallTimeouts(limits, handler),
+		Handler:           listener.WithArrival(withStallTimeouts(limits, handler)),
+		ConnContext:       listener.ConnContext,
 		Protocols:         protocols,
 		ReadHeaderTimeout: time.Duration(limits.HeaderTimeout),
 		IdleTimeout:       time.Duration(limits.IdleTimeout),
--- a/internal/daemon/pipeline_test.go
+++ b/internal/daemon/pipeline_test.go
@@ -195,3 +195,39 @@
 		}
 	})
 }
+
+// Guards against a request that runs after its caller has given up: its time counted only from when
+// net/http read it, behind a slow one on the same connection.
+func TestDeadlineCountsFromTheArrival(t *testing.T) {
+	var seen requestRecorder
+	record := seen.wrap(nil)
+	fleet := newTestFleetWith(t, 1, fleetOptions{backend: func(http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/stock/slow" {
+				time.Sleep(300 * time.Millisecond)
+			}
+			record.ServeHTTP(w, r)
+		})
+	}})
+	conn := dialCallers(t, callersAddress(t, fleet))
+	short := "Cowslip-Timeout-Ms: 200\r\n"
+	io.WriteString(conn, rawRequest("GET", "/stock/slow", "", "")+rawRequest("GET", "/stock/late", short, "")) //nolint:errcheck // the test fails
+	reader := bufio.NewReader(conn)
+	for _, want := range []string{"answered", "not-run", "answered"} {
+		resp, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body) //nolint:errcheck // the next read fails then
+		if got := resp.Header.Get("Cowslip-Outcome"); got != want {
+			t.Errorf("status %d, outcome %q, want %q", resp.StatusCode, got, want)
+		}
+		if want == "not-run" {
+			// One that is sent now has its whole time.
+			io.WriteString(conn, rawRequest("GET", "/stock/after", "", "")) //nolint:errcheck // the test fails
+		}
+	}
+	if got := seen.take(); !slices.Equal(got, []string{"GET /stock/slow ", "GET /stock/after "}) {
+		t.Errorf("the backend server got %q", got)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/dialect"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/listener"
 	"github.com/cowsliprun/cowsliprun/internal/operation"
 	"github.com/cowsliprun/cowsliprun/internal/retry"
 	"github.com/cowsliprun/cowsliprun/internal/telemetry"
@@ -248,8 +249,15 @@
 		return
 	}
 	c.id = id
+	if arrival, waited := listener.Arrival(r.Context()); waited {
+		received = arrival
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), received.Add(requestTimeout(c.route, caller)))
 	defer cancel()
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		e.failRequest(w, errkind.New(errkind.DeadlineBeforeRun, "the deadline passed while an earlier request on the connection was served"))
+		return
+	}
 	if err := c.readUpload(ctx, w, r); err != nil {
 		e.failRequest(w, err)
 		return
--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -27,10 +27,20 @@
 type conn struct {
 	*net.TCPConn
 	listener *Listener
+	arrivals arrivals
 	// closed is set by the first Close, abortive by SetLinger(0).
 	closed, abortive atomic.Bool
 }
 
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.TCPConn.Read(p)
+	if n > 0 {
+		c.arrivals.noteRead(time.Now())
+	}
+	return n, err
+}
+
 // SetLinger sets the behaviour of Close, see net.TCPConn.
 func (c *conn) SetLinger(seconds int) error {
 	c.abortive.Store(seconds == 0)
