--- a/internal/entry/loadplay_test.go
+++ b/internal/entry/loadplay_test.go
@@ -121,11 +121,14 @@
 	servers []*playServer
 	// asked counts the requests that homes received.
 	asked atomic.Int64
+	// oneWay is the latency between daemons.
+	oneWay time.Duration
 }
 
 // RoundTrip implements http.RoundTripper between entry and home.
 func (f *playFleet) RoundTrip(r *http.Request) (resp *http.Response, err error) {
 	f.asked.Add(1)
+	time.Sleep(2 * f.oneWay)
 	trace := httptrace.ContextClientTrace(r.Context())
 	trace.GotConn(httptrace.GotConnInfo{})
 	if err := trace.Got1xxResponse(http.StatusProcessing, nil); err != nil {
