Keep the statistics of a queue by the kinds that occur

A queue counted by priority modulo 16, which mixes kinds and gets the order of more urgent ones wrong once priorities combine those of organisations and routes. It now has statistics for up to 32 pairs of priority and running or new work, whatever their values; a further one takes those of the kind with the fewest recent requests.

--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -16,6 +16,9 @@
 	First bool
 	// Goal is until when a response is in time, Deadline until when it is of use.
 	Goal, Deadline time.Time
+
+	// class is the index of the statistics of its kind, set by the queue.
+	class uint8
 }
 
 // Verdict says why a request got no place in a queue.
@@ -37,8 +40,8 @@
 	// placesPerSlot bounds the waiting requests of a backend server. Their order, and not the bound,
 	// normally decides who is served.
 	placesPerSlot = 8
-	// classCount bounds the statistics by priority. Priorities that differ by a multiple of half of
-	// it share theirs.
+	// classCount bounds the kinds of requests, by priority and Inner, that have statistics. A further
+	// one takes those of the kind with the fewest recent requests.
 	classCount = 32
 	// holdWeight is the weight of the newest request in the mean times of a class.
 	holdWeight = 0.1
@@ -60,8 +63,10 @@
 	minOffered = 8
 )
 
-// class holds the statistics of the requests of one priority.
+// class holds the statistics of the requests of one kind.
 type class struct {
+	priority int
+	inner    bool
 	// hold is the mean time in seconds that a request holds a slot, spread its mean deviation.
 	hold, spread float64
 	// offered and granted count recent requests and those of them that got a slot. work is the time
@@ -82,6 +87,8 @@
 	slots   int
 	waiting []waiter[T]
 	classes [classCount]class
+	// used is the number of classes in use.
+	used int
 	// hold is the mean time in seconds that any request holds a slot, 0 before the first.
 	hold      float64
 	decayedAt time.Time
@@ -98,13 +105,31 @@
 // Len returns the number of waiting requests.
 func (q *Queue[T]) Len() int { return len(q.waiting) }
 
-// classOf returns the index of the statistics of a request.
-func classOf(r *Request) int {
-	i := 2 * (uint(r.Priority) % (classCount / 2))
-	if r.Inner {
-		i++
+// classOf returns the statistics of the kind of a request, and notes where they are in the request.
+func (q *Queue[T]) classOf(r *Request) *class {
+	rarest := 0
+	for i := range q.used {
+		c := &q.classes[i]
+		if c.priority == r.Priority && c.inner == r.Inner {
+			r.class = uint8(i)
+			return c
+		}
+		if c.offered < q.classes[rarest].offered {
+			rarest = i
+		}
 	}
-	return int(i)
+	if q.used < classCount {
+		rarest = q.used
+		q.used++
+	}
+	r.class = uint8(rarest)
+	q.classes[rarest] = class{priority: r.Priority, inner: r.Inner}
+	return &q.classes[rarest]
+}
+
+// goesBefore reports whether all requests of a class go before those of another one.
+func (c *class) goesBefore(other *class) bool {
+	return c.priority > other.priority || c.priority == other.priority && c.inner && !other.inner
 }
 
 // decay ages the counts of all classes.
@@ -118,7 +143,7 @@
 		keep = 0
 	}
 	q.decayedAt = now
-	for i := range q.classes {
+	for i := range q.used {
 		c := &q.classes[i]
 		c.offered, c.granted, c.work = c.offered*keep, c.granted*keep, c.work*keep
 	}
@@ -127,7 +152,7 @@
 // Started records a request that got a slot without waiting.
 func (q *Queue[T]) Started(now time.Time, r *Request) {
 	q.decay(now)
-	c := &q.classes[classOf(r)]
+	c := q.classOf(r)
 	if r.First {
 		c.offered++
 	}
@@ -138,7 +163,7 @@
 // Ended records for how long a request that was served held its slot.
 func (q *Queue[T]) Ended(r *Request, held time.Duration) {
 	seconds := held.Seconds()
-	c := &q.classes[classOf(r)]
+	c := q.classOf(r)
 	if c.hold == 0 {
 		c.hold, c.spread = seconds, seconds/4
 	}
@@ -152,7 +177,7 @@
 
 // holdOf returns the time in seconds that the request is expected to hold a slot.
 func (q *Queue[T]) holdOf(r *Request) float64 {
-	if c := &q.classes[classOf(r)]; c.hold > 0 {
+	if c := &q.classes[r.class]; c.hold > 0 {
 		return c.hold
 	}
 	return q.hold
@@ -160,7 +185,7 @@
 
 // inTime reports whether a request that starts now is likely to meet its goal.
 func (q *Queue[T]) inTime(now time.Time, r *Request) bool {
-	return r.Goal.Sub(now).Seconds() >= q.holdOf(r)+spreadFactor*q.classes[classOf(r)].spread
+	return r.Goal.Sub(now).Seconds() >= q.holdOf(r)+spreadFactor*q.classes[r.class].spread
 }
 
 // before reports whether a goes before b.
@@ -182,6 +207,7 @@
 // Wait returns the time until the request would get a slot if it joined the queue now while all slots
 // are in use. It is 0 while nothing is known about the backend server.
 func (q *Queue[T]) Wait(now time.Time, r *Request) time.Duration {
+	q.classOf(r)
 	slots := float64(max(1, q.slots))
 	ahead, overtaking := q.hold, q.overtaking(r)
 	neglected := q.neglected(r, q.grantedShare())
@@ -190,7 +216,7 @@
 	}
 	for i := range q.waiting {
 		w := &q.waiting[i].Request
-		if q.before(now, w, r) && (!neglected || classOf(w) == classOf(r)) {
+		if q.before(now, w, r) && (!neglected || w.class == r.class) {
 			ahead += q.holdOf(w)
 		}
 	}
@@ -205,8 +231,11 @@
 // after r and go before it.
 func (q *Queue[T]) overtaking(r *Request) float64 {
 	work := 0.0
-	for i := classOf(r) + 1; i < classCount; i++ {
-		work += q.classes[i].work
+	own := &q.classes[r.class]
+	for i := range q.used {
+		if c := &q.classes[i]; c.goesBefore(own) {
+			work += c.work
+		}
 	}
 	return min(maxOvertaking, work/loadWindow.Seconds()/float64(max(1, q.slots)))
 }
@@ -216,7 +245,7 @@
 // displaced is set if value is that one. The value of each waiter must be unique.
 func (q *Queue[T]) Add(now time.Time, r Request, patience time.Duration, value T) (v Verdict, wait time.Duration, last T, displaced bool) {
 	q.decay(now)
-	c := &q.classes[classOf(&r)]
+	c := q.classOf(&r)
 	if r.First {
 		c.offered++
 	}
@@ -281,14 +310,14 @@
 	if now.Add(seconds(q.holdOf(&w.Request))).After(w.Deadline) {
 		return w.value, true, true
 	}
-	q.classes[classOf(&w.Request)].granted++
+	q.classes[w.class].granted++
 	return w.value, false, true
 }
 
 // grantedShare returns the share of all recent requests that got a slot.
 func (q *Queue[T]) grantedShare() float64 {
 	offered, granted := 0.0, 0.0
-	for i := range q.classes {
+	for i := range q.used {
 		offered += q.classes[i].offered
 		granted += q.classes[i].granted
 	}
@@ -297,7 +326,7 @@
 
 // neglected reports whether far fewer requests of the class of r get slots than the share of all.
 func (q *Queue[T]) neglected(r *Request, share float64) bool {
-	own := &q.classes[classOf(r)]
+	own := &q.classes[r.class]
 	return own.offered >= minOffered && own.granted < fairShare*share*own.offered
 }
 
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -115,7 +115,8 @@
 	}
 }
 
-// Guards against waiters that are lost or returned twice, and against more places than the bound.
+// Guards against waiters that are lost or returned twice, also with more kinds than have statistics,
+// and against more places than the bound.
 func TestQueueKeepsEachWaiter(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		now := time.Now()
@@ -140,7 +141,7 @@
 				}
 			default:
 				goal := time.Duration(rapid.IntRange(-500, 3000).Draw(r, "goal")) * time.Millisecond
-				v, _, last, displaced := q.Add(now, at(now, rapid.IntRange(0, 1).Draw(r, "priority"), goal, goal+time.Second), time.Minute, i)
+				v, _, last, displaced := q.Add(now, at(now, rapid.IntRange(0, 40).Draw(r, "priority"), goal, goal+time.Second), time.Minute, i)
 				if displaced {
 					take(last)
 				}
