--- a/internal/suspicion/filter_test.go
+++ b/internal/suspicion/filter_test.go
@@ -145,3 +145,27 @@
 		t.Errorf("admitted %v after the failure, want it within the shortest gray periods", admitted)
 	}
 }
+
+// Guards against requests that all insist at the same time on a backend server whose state nobody
+// knows yet, and against those that go to one that is more likely gray than their entry accepts.
+func TestInsistingWithinALimitIsRare(t *testing.T) {
+	now := time.Now()
+	f := New(Default(), now)
+	f.Observe(now, Failure)
+	r := Request{Insists: true, RouteRepeatable: true, MaxGray: 0.9}
+	admitted := 0
+	for range 100 {
+		now = now.Add(10 * time.Millisecond)
+		if f.Admit(now, r) {
+			admitted++
+		}
+	}
+	if admitted < 9 || admitted > 11 {
+		t.Errorf("%d requests admitted in a second, want one in %v", admitted, insistInterval)
+	}
+	f.Observe(now, Failure)
+	now = now.Add(insistInterval)
+	if f.Admit(now, r) {
+		t.Errorf("admitted at a probability of %.2f, limit %.2f", f.Gray(now), r.MaxGray)
+	}
+}
