--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -168,7 +168,9 @@
 	d.feedPeers.Store(new([]feed.Peer))
 	seed := newIncarnation()
 	suspect := suspicion.Default()
-	d.home = home.New(home.Options{VM: s.VM, Log: log.Part("home"), Seed: seed, Dialect: o.Dialect, Suspicion: &suspect, ReplacementDelay: restartTime, ChargeRetry: d.chargeRetry})
+	d.home = home.New(home.Options{
+		VM: s.VM, Log: log.Part("home"), Seed: seed, Dialect: o.Dialect, Suspicion: &suspect, ReplacementDelay: restartTime, ChargeRetry: d.chargeRetry, Queue: s.Registry.Admission == settings.AdmissionQueue,
+	})
 	transport := forward.NewPeerTransport(forward.PeerOptions{IdleTimeout: peerIdleTimeout, PingAfter: peerPingAfter})
 	d.quota = newRegistryQuota(&s, d.snapshot.Load, d.feed.Silence, transport, log.Part("quota"))
 	d.entry = entry.New(entry.Options{
@@ -176,7 +178,8 @@
 		Leaving: d.leaving.Load, Stopping: d.stopping.Load, Transport: transport, Limiter: d.quota, Observer: requestMetrics{d.metrics}, Seed: seed,
 		Log: log.Part("entry"), Dialect: o.Dialect, OriginService: func() string { return *d.originService.Load() },
 		Retry: registryRetryOptions, Confirm: true, MaxWait: maxCapacityWait, Configured: d.configured, Outdated: d.feed.Outdated, KeysTrusted: d.keysTrusted(),
-		Balance: balance.Options{RegionWide: true, ExcludeAvoided: true, LoadTTL: loadReportTTL, SubsetSize: preferredBackends},
+		Admission: admissionOptions(&s.Registry, d.metrics),
+		Balance:   balance.Options{RegionWide: true, ExcludeAvoided: true, LoadTTL: loadReportTTL, SubsetSize: preferredBackends},
 	})
 	d.guard = newPeerGuard(s, log.Part("peer"))
 	d.registerGauges()
