--- a/internal/registry/era_test.go
+++ b/internal/registry/era_test.go
@@ -115,16 +115,20 @@
 		begin := time.Now()
 		store := &returningStore{returnsAt: begin.Add(300 * time.Millisecond)}
 		store.lists = []func() ([]Change, uint64, error){respond(at(2, 30))}
-		var listedAfter time.Duration
+		listed := make(chan time.Duration, 1)
 		reader := NewReader(store, telemetry.Discard(), at(1, 40), func(u Update) {
 			if u.Full {
-				listedAfter = time.Since(begin)
+				listed <- time.Since(begin)
 			}
 		}, func() {})
 		go reader.Run(t.Context())
-		time.Sleep(2 * watchWait)
-		if listedAfter == 0 || listedAfter > 2*probeInterval {
-			t.Errorf("listed after %v, want at most %v", listedAfter, 2*probeInterval)
+		select {
+		case after := <-listed:
+			if after > 2*probeInterval {
+				t.Errorf("listed after %v, want at most %v", after, 2*probeInterval)
+			}
+		case <-time.After(2 * watchWait):
+			t.Error("not listed")
 		}
 	})
 }
