--- a/internal/listener/arrival.go
+++ b/internal/listener/arrival.go
@@ -27,6 +27,11 @@
 	}
 }
 
+// lateRead is how long after the end of a request the rest of one that was sent ahead may be read.
+// net/http reads one byte of it earlier, and the rest at once then. Bytes that come later belong to a
+// request that did not wait, and what came before them is only a line end that net/http skips.
+const lateRead = 10 * time.Millisecond
+
 // begin returns when the request that begins had arrived, and true if another one was served then.
 func (a *arrivals) begin() (time.Time, bool) {
 	a.mu.Lock()
@@ -36,7 +41,7 @@
 		at = a.last // it came with the bytes of the request before
 	}
 	a.first = time.Time{}
-	return at, at.Before(a.served)
+	return at, at.Before(a.served) && a.last.Before(a.served.Add(lateRead))
 }
 
 // end records the end of a request. The reads of one with a body were not those of the next one.
