End a backend connection on which bytes arrive while it is idle

Cause: a review showed by a forced order that surplus bytes read between the check for reuse and the start of the next response passed without the check of heads. Change: such bytes are an error of the connection for good. Result: go test -race ./internal/forward passes.

--- a/internal/forward/watchedconn.go
+++ b/internal/forward/watchedconn.go
@@ -38,6 +38,9 @@
 	return c
 }
 
+// errSurplus ends a connection on which bytes arrive that no request asked for.
+var errSurplus = errors.New("bytes arrived on an idle connection")
+
 // errReset is returned in place of io.EOF for a connection that did not end with a FIN.
 var errReset = errors.New("the connection was reset or lost")
 
@@ -50,6 +53,7 @@
 	if n > 0 {
 		if c.idle.Load() {
 			c.surplus.Store(true)
+			c.invalid = errSurplus
 		}
 		if c.newResponse.CompareAndSwap(true, false) {
 			c.head = headCheck{}
