Give back a token only for requests that took one

Cause: a review showed that a request without a limit under an organisation's name, and one that outlasted the idle time of its organisation's state, gave back the token of a request that is running; that a holder took limits that cannot be read for none (1,000 asks, 8,000 tokens); and that tokens of parts that no longer exist filled the list of returns for good. Change: Release gets the customer that was admitted; state with tokens in use is not dropped; unreadable limits refuse; such tokens are not returned.

--- a/internal/daemon/limiter.go
+++ b/internal/daemon/limiter.go
@@ -69,4 +69,4 @@
 }
 
 // Release ends an admitted request of the customer, which frees its part of the concurrency limit.
-func (l *limiter) Release(customer string, _ bool) { l.shares.Release(customer) }
+func (l *limiter) Release(c *catalog.Customer, _ bool) { l.shares.Release(c.Name) }
--- a/internal/daemon/registryquota.go
+++ b/internal/daemon/registryquota.go
@@ -110,8 +110,11 @@
 	return false
 }
 
-// limitsOf returns the limits of the customer.
+// limitsOf returns the limits of the customer. Limits that cannot be read refuse all requests.
 func limitsOf(c *catalog.Customer) quota.Limits {
+	if c.LimitsUnknown {
+		return quota.Limits{Rate: -1}
+	}
 	return quota.Limits{Rate: c.Limits.RatePerSecond, Burst: float64(c.Limits.Burst)}
 }
 
@@ -153,9 +156,12 @@
 	return &errkind.Error{Kind: errkind.RateLimited, Detail: detail, RetryAfter: after}
 }
 
-// Release ends an admitted request. A token whose request did not run serves another one.
-func (q *registryQuota) Release(customer string, mayHaveRun bool) {
-	q.taker.Release(time.Now(), customer, mayHaveRun)
+// Release ends an admitted request. A token whose request did not run serves another one. Requests
+// without a limit took none.
+func (q *registryQuota) Release(c *catalog.Customer, mayHaveRun bool) {
+	if !limitsOf(c).Unlimited() {
+		q.taker.Release(time.Now(), c.Name, mayHaveRun)
+	}
 }
 
 // ask asks the holder of an attempt. It does not end with the caller's request, so that a granted token
--- a/internal/daemon/registryquota_test.go
+++ b/internal/daemon/registryquota_test.go
@@ -107,7 +107,7 @@
 		if err := p.entry.Admit(t.Context(), other); err != nil {
 			t.Errorf("a customer without limits: %v", err)
 		}
-		p.entry.Release(other.Name, true)
+		p.entry.Release(other, true)
 	})
 }
 
@@ -125,7 +125,7 @@
 		if err := p.entry.Admit(t.Context(), p.organisation); err != nil {
 			t.Errorf("with contact: %v", err)
 		}
-		p.entry.Release("acme", true)
+		p.entry.Release(p.organisation, true)
 		ended, cancel := context.WithCancel(t.Context())
 		cancel()
 		if err := p.entry.Admit(ended, p.organisation); err != nil && err.Kind != errkind.DeadlineBeforeRun {
@@ -191,3 +191,29 @@
 		t.Errorf("status %d, %+v, %v", w.Code, answer, err)
 	}
 }
+
+// Guards against a request that took no token, such as one without a limit under the same name, and
+// that gives back the token of a request that is running.
+func TestRequestsWithoutATokenGiveNoneBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newQuotaPair(t, contract.Limits{RatePerSecond: 100, Burst: 100}, false)
+		if err := p.entry.Admit(t.Context(), p.organisation); err != nil {
+			t.Fatal(err)
+		}
+		asks := p.entry.taker.Stats().Asks
+		p.entry.Release(&catalog.Customer{Name: p.organisation.Name}, false)
+		if err := p.entry.Admit(t.Context(), p.organisation); err != nil {
+			t.Fatal(err)
+		}
+		if got := p.entry.taker.Stats().Asks; got != asks+1 {
+			t.Errorf("%d asks for the second request, want 1", got-asks)
+		}
+	})
+}
+
+// Guards against limits that cannot be read and count as none at their holder.
+func TestUnreadableLimitsRefuseAllRequests(t *testing.T) {
+	if limits := limitsOf(&catalog.Customer{Organisation: true, LimitsUnknown: true}); limits.Unlimited() {
+		t.Errorf("%+v is unlimited", limits)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,16 +113,16 @@
 	// limit that another daemon is about to grant. If it returns nil, Release must be called at the end
 	// of the request.
 	Admit(ctx context.Context, c *catalog.Customer) *errkind.Error
-	// Release ends an admitted request of the customer. mayHaveRun is false if it certainly did not
-	// run.
-	Release(customer string, mayHaveRun bool)
+	// Release ends a request that was admitted for the customer. mayHaveRun is false if it certainly did
+	// not run.
+	Release(c *catalog.Customer, mayHaveRun bool)
 }
 
 // noopLimiter admits every request.
 type noopLimiter struct{}
 
 func (noopLimiter) Admit(context.Context, *catalog.Customer) *errkind.Error { return nil }
-func (noopLimiter) Release(string, bool)                                    {}
+func (noopLimiter) Release(*catalog.Customer, bool)                         {}
 
 // maxOperationBodiesBytes bounds the total size of the bodies of at-most-once operations held in
 // memory.
@@ -284,8 +284,9 @@
 		e.failRequest(w, err)
 		return
 	}
-	mayHaveRun := true // handle may panic in the middle of a response
-	defer func() { e.limiter.Release(c.customer.Name, mayHaveRun) }()
+	mayHaveRun := true     // handle may panic in the middle of a response
+	admitted := c.customer // a later configuration may have other limits
+	defer func() { e.limiter.Release(admitted, mayHaveRun) }()
 	if err := c.readUpload(ctx, w, r); err != nil {
 		mayHaveRun = false
 		e.failRequest(w, err)
--- a/internal/entry/limiter_test.go
+++ b/internal/entry/limiter_test.go
@@ -31,7 +31,7 @@
 	return nil
 }
 
-func (l *recordingLimiter) Release(_ string, mayHaveRun bool) {
+func (l *recordingLimiter) Release(_ *catalog.Customer, mayHaveRun bool) {
 	l.released = append(l.released, mayHaveRun)
 }
 
--- a/internal/quota/organisation.go
+++ b/internal/quota/organisation.go
@@ -95,11 +95,18 @@
 			i++
 			continue
 		}
-		o.returns = add(o.returns, o.atHand[i])
+		o.giveBack(o.atHand[i])
 		o.atHand = slices.Delete(o.atHand, i, i+1)
 	}
 }
 
+// giveBack adds a lot to those to be returned, unless its part no longer exists.
+func (o *organisation) giveBack(l lot) {
+	if l.part >= 0 {
+		o.returns = add(o.returns, l)
+	}
+}
+
 // add adds a lot. One that no longer fits is forgotten, so that its tokens are not returned. Forgetting
 // older ones instead would have later requests return tokens as newer than they are.
 func add(lots []lot, l lot) []lot {
--- a/internal/quota/taker.go
+++ b/internal/quota/taker.go
@@ -164,7 +164,7 @@
 	case Granted:
 		granted := lot{part: int32(i), tokens: int32(answer.Tokens), epoch: answer.Epoch, stamp: answer.Stamp, until: a.askedAt + tokenLife}
 		if elapsed > granted.until {
-			o.returns = add(o.returns, granted)
+			o.giveBack(granted)
 			return t.next(elapsed, o, a)
 		}
 		o.used = add(o.used, granted.one())
@@ -342,7 +342,7 @@
 	if o.division.ahead && now.Sub(t.start) < l.until {
 		o.atHand = add(o.atHand, l)
 	} else {
-		o.returns = add(o.returns, l)
+		o.giveBack(l)
 	}
 }
 
@@ -364,7 +364,8 @@
 	}
 	n := min(len(t.sweeping), t.sweepSize)
 	for _, name := range t.sweeping[:n] {
-		if o := t.organisations[name]; o != nil && elapsed-o.lastSeen > max(idleTime, t.bounds.Window+tokenLife) {
+		// A request may hold its token for longer than the idle time.
+		if o := t.organisations[name]; o != nil && len(o.used) == 0 && elapsed-o.lastSeen > max(idleTime, t.bounds.Window+tokenLife) {
 			delete(t.organisations, name)
 		}
 	}
