--- a/internal/feed/confirm.go
+++ b/internal/feed/confirm.go
@@ -105,13 +105,14 @@
 	return nil
 }
 
-// confirm tells the lease of an update of the store that is about to be applied. With it, this daemon has
-// all configurations up to its revision.
+// confirm tells the lease of an update of the store that is about to be applied. It counts once a
+// configuration of its version is in force. A version that another daemon has announced is a newer one
+// that a copy of the store may lack.
 func (s *Source) confirm(u registry.Update) {
 	if s.options.Keys == nil || u.ConfirmedAt == 0 {
 		return
 	}
-	c := keylease.Confirmation{At: u.ConfirmedAt, Configuration: s.configurations.version.Load()}
+	c := keylease.Confirmation{At: u.ConfirmedAt, Configuration: max(s.configurations.version.Load(), s.announced.Load())}
 	for i := range u.Changes {
 		if u.Changes[i].Configuration != nil {
 			c.Configuration = max(c.Configuration, u.Changes[i].Configuration.Version)
--- a/internal/feed/doc.go
+++ b/internal/feed/doc.go
@@ -7,7 +7,7 @@
 // follow relays of their data centre, so that the followers of one daemon stay few. Each status says
 // how old the state is, whatever the number of daemons it has passed.
 //
-// The configuration can be large, so streams only name its revision. A daemon with an older one
+// The configuration can be large, so streams only name its version. A daemon with an older one
 // fetches what has changed, from whichever daemon has it and has room on its link.
 //
 // Each status says how long ago the store last answered a reader. A daemon for which that is too long
--- a/internal/feed/fetch.go
+++ b/internal/feed/fetch.go
@@ -136,8 +136,12 @@
 // fetchConfiguration gets the latest configuration of another daemon and applies it.
 func (s *Source) fetchConfiguration(ctx context.Context, source Peer) error {
 	known := s.configurations.known()
+	have := uint64(0)
+	if known.Configuration != nil {
+		have = known.Configuration.Version
+	}
 	begin := time.Now()
-	m, size, err := s.requestConfiguration(ctx, source, s.configurations.version.Load())
+	m, size, err := s.requestConfiguration(ctx, source, have)
 	if err != nil {
 		return err
 	}
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -74,7 +74,7 @@
 	// configuredRevision that up to which its configuration is the latest one.
 	completeRevision, configuredRevision atomic.Uint64
 	configurations                       configurations
-	// announced is the highest version of a configuration that another daemon has. fetchDue wakes the
+	// announced is the highest version of a configuration that a followed daemon has. fetchDue wakes the
 	// goroutine that fetches it.
 	announced atomic.Uint64
 	fetchDue  chan struct{}
@@ -383,6 +383,7 @@
 		defer s.mu.Unlock()
 		if s.streams[p.VM] == st {
 			delete(s.streams, p.VM)
+			s.forgetAnnouncement()
 		}
 		if ctx.Err() == nil {
 			s.avoidUntil[p.VM] = time.Now().Add(avoidDuration)
@@ -392,6 +393,17 @@
 	}()
 }
 
+// forgetAnnouncement forgets the version that only a daemon has announced that is no longer followed.
+// After a return of the store from a copy nobody else may have it, and a daemon that waits for it would
+// never again count its state as new. The caller holds mu.
+func (s *Source) forgetAnnouncement() {
+	latest := uint64(0)
+	for _, st := range s.streams {
+		latest = max(latest, st.configuration.Load())
+	}
+	s.announced.Store(latest)
+}
+
 // awaitsFirstState reports whether a stream that began lately may bring the first full state. A second
 // stream would bring it again; once there is a state, it brings only what is newer. The caller holds
 // mu.
--- a/internal/registry/entry.go
+++ b/internal/registry/entry.go
@@ -91,7 +91,7 @@
 // one, in an earlier era than that of the write. The copy that the store came back from still has it.
 func (e *entry) supersededBeforeEra(w write) bool {
 	era := EraOf(w.revision)
-	if e.removedRevision > 0 && EraOf(e.removedRevision) < era && w.registration.Started <= e.leftStart {
+	if e.leftStart > 0 && EraOf(e.removedRevision) < era && w.registration.Started <= e.leftStart {
 		return true
 	}
 	return slices.ContainsFunc(e.writes, func(known write) bool {
--- a/internal/registry/era_test.go
+++ b/internal/registry/era_test.go
@@ -335,3 +335,18 @@
 		}
 	})
 }
+
+// Guards against lists without a pause from a store that has none of the changes that it is asked for:
+// each may have several megabytes.
+func TestListsInARowArePaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := &scriptedStore{
+			lists:   slices.Repeat([]func() ([]Change, uint64, error){respond(at(1, 40))}, 1000),
+			watches: slices.Repeat([]func() ([]Change, uint64, error){failWith(ErrHistoryGone)}, 1000),
+		}
+		runReader(10*time.Second, store, at(1, 37))
+		if most := 2*int(10*time.Second/maxBackoff) + 5; store.calls > most {
+			t.Errorf("%d calls in 10 s, want at most %d", store.calls, most)
+		}
+	})
+}
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -177,6 +177,9 @@
 		case errors.Is(err, ErrHistoryGone):
 			r.log.Info("The store no longer has the changes after this revision; reading a full list.", "era", EraOf(state.revision), "revision", StoreRevisionOf(state.revision))
 			state.revision = 0
+			if state.listsInARow++; state.listsInARow > 1 {
+				pause.For(ctx, maxBackoff)
+			}
 		default:
 			r.handleFailure(ctx, &state, err)
 		}
@@ -189,6 +192,9 @@
 	// era is the latest known era of the store. known is set once there is one.
 	era   uint64
 	known bool
+	// listsInARow counts the lists since the latest watch that the store answered. From the second one
+	// on they are paced: a store that never answers a watch would be listed without a pause.
+	listsInARow int
 	// lastResponse is the time of the latest successful call.
 	lastResponse        time.Time
 	consecutiveFailures int
@@ -295,6 +301,9 @@
 		u.RemovalHold = removalHold
 	}
 	r.noteEra(s, &u)
+	if !u.Full {
+		s.listsInARow = 0
+	}
 	if s.consecutiveFailures > 0 {
 		r.log.Info("The store is available again.", "revision", u.Revision, "away", now.Sub(s.lastResponse), "failures", s.consecutiveFailures)
 	}
