--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -206,7 +206,7 @@
 	Detail string
 	Cause  error
 	// RetryAfter replaces the time of the kind's answer after which the caller may come back, unless
-	// it is 0.
+	// it is 0. A negative one means that the caller gets none.
 	RetryAfter time.Duration
 }
 
