review: an order that has run is refused with 503

Cause: a failure without Not-Executed is passed on as the upstream's own answer whatever its status, so a 503 of a gray upstream reaches the client as the promise that the order has not run.

The stand-ins lose what no case uses.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -31,7 +31,7 @@
 var freshClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 
 // request sends one request to a daemon and waits for its answer.
-func (f *fleet) request(client *http.Client, m *machine, method, target, host, body string, deadline time.Duration, header http.Header) answer {
+func (f *fleet) request(client *http.Client, m *machine, method, target, body string, deadline time.Duration) answer {
 	a := answer{attempt: newAttempt(), sent: time.Now()}
 	var content io.Reader
 	if body != "" {
@@ -41,9 +41,6 @@
 	if err != nil {
 		panic(err)
 	}
-	for name, values := range header {
-		req.Header[name] = values
-	}
 	req.GetBody = nil
 	req.Host = host
 	req.Header.Set("Attempt-Id", a.attempt)
--- a/review/standin-2/status503.go
+++ b/review/standin-2/status503.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -44,10 +45,36 @@
 	return list, nil
 }
 
+const (
+	// grayMachines is the number of machines, one of whose upstreams is gray.
+	grayMachines = 8
+	// grayShare is the share of its requests that the gray upstream fails, for grayLength after it has
+	// been well for grayPause, grayTimes times.
+	grayShare  = 0.5
+	grayLength = 6500 * time.Millisecond
+	grayPause  = 3 * time.Second
+	grayTimes  = 3
+	// orderInterval is the time between two orders of a client.
+	orderInterval = 100 * time.Millisecond
+	// comeBack is when a client sends a refused order again.
+	comeBack = 300 * time.Millisecond
+	// maxSends bounds how often a client sends an order.
+	maxSends = 3
+)
+
+// isPromise reports whether a status says that the request has not run and never will.
+func isPromise(status int) bool {
+	switch status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // status503 sends orders while one upstream fails a part of its requests with status 503, after it has
 // run them and without the header that says that it did not.
 func status503(r *record, trouble bool) (outcome, error) {
-	f, err := newFleet(r, "orders", "orders", "orders")
+	f, err := newFleet(r, slices.Repeat([]string{"orders"}, grayMachines)...)
 	if err != nil {
 		return outcome{}, err
 	}
@@ -57,9 +84,10 @@
 	if err != nil {
 		return outcome{}, err
 	}
+	start := time.Now()
 	if trouble {
-		list[0].answer = func(u *upstream, w http.ResponseWriter, r *http.Request, _ []byte) bool {
-			if rand.Float64() >= 0.45 {
+		list[0].answer = func(u *upstream, w http.ResponseWriter, r *http.Request) bool {
+			if time.Since(start)%(grayPause+grayLength) < grayPause || rand.Float64() >= grayShare {
 				return false
 			}
 			time.Sleep(u.work)
@@ -72,40 +100,60 @@
 	if err := f.startAll(); err != nil {
 		return outcome{}, err
 	}
-	time.Sleep(time.Second)
 	var mu sync.Mutex
 	var answers []answer
+	attempts := map[string][]string{}
 	var clients sync.WaitGroup
-	for i := range f.machines {
+	end := time.Now().Add(grayTimes * (grayPause + grayLength))
+	for i, m := range f.machines {
 		clients.Go(func() {
-			for n := range 40 {
-				a := f.request(freshClient, f.machines[i], http.MethodPost, fmt.Sprintf("%s%d", ordersPrefix, n), host, "one pallet", 8*time.Second, nil)
-				mu.Lock()
-				answers = append(answers, a)
-				mu.Unlock()
-				time.Sleep(100 * time.Millisecond)
+			for n := 0; time.Now().Before(end); n++ {
+				order := fmt.Sprintf("%s%d-%d", ordersPrefix, i, n)
+				for range maxSends {
+					a := f.request(freshClient, m, http.MethodPost, order, "one pallet", 8*time.Second)
+					mu.Lock()
+					answers = append(answers, a)
+					attempts[order] = append(attempts[order], a.attempt)
+					mu.Unlock()
+					if !isPromise(a.status) {
+						break
+					}
+					time.Sleep(comeBack)
+				}
+				time.Sleep(orderInterval)
 			}
 		})
 	}
 	clients.Wait()
+	return judgeRefusals(r, answers, attempts, ran.all())
+}
+
+// judgeRefusals counts the requests that were refused although they had run, and the orders that ran
+// more than once for it.
+func judgeRefusals(r *record, answers []answer, attempts map[string][]string, ran []run) (outcome, error) {
 	began := map[string]bool{}
-	for _, one := range ran.all() {
+	for _, one := range ran {
 		began[one.attempt] = true
 	}
-	served, false503 := 0, 0
+	served, untrue, doubled := 0, 0, 0
 	for _, a := range answers {
-		switch a.status {
-		case http.StatusOK:
+		if a.status == http.StatusOK {
 			served++
-		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
-			if began[a.attempt] {
-				false503++
-				r.logf("request %s was answered %d and has run; signature of the answer: %q", a.attempt, a.status, a.signature)
-			}
+		}
+		if isPromise(a.status) && began[a.attempt] {
+			untrue++
+			r.logf("request %s was answered %d and has run; signature of the answer: %q", a.attempt, a.status, a.signature)
+		}
+	}
+	for order, list := range attempts {
+		if times := len(slices.DeleteFunc(list, func(id string) bool { return !began[id] })); times > 1 {
+			doubled++
+			r.logf("order %s ran %d times", order, times)
 		}
 	}
 	if served < len(answers)/2 {
-		return outcome{}, fmt.Errorf("only %d of %d orders were served", served, len(answers))
+		return outcome{}, fmt.Errorf("only %d of %d requests were served", served, len(answers))
 	}
-	return outcome{false503 > 0, fmt.Sprintf("%d of %d orders served, %d refused although they had run", served, len(answers), false503)}, nil
+	text := fmt.Sprintf("%d of %d requests served, %d refused although they had run, %d orders ran more than once", served, len(answers), untrue, doubled)
+	return outcome{untrue > 0, text}, nil
 }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -73,18 +73,6 @@
 	s.add(it)
 }
 
-// remove removes a value.
-func (s *store) remove(key string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if _, ok := s.items[key]; !ok {
-		return
-	}
-	s.revision++
-	delete(s.items, key)
-	s.add(storeItem{Key: key, Rev: s.revision, Removed: true})
-}
-
 // add appends an event. The caller holds mu.
 func (s *store) add(e storeItem) {
 	s.events = append(s.events, e)
--- a/review/standin-2/upstream.go
+++ b/review/standin-2/upstream.go
@@ -10,9 +10,6 @@
 	"time"
 )
 
-// heartbeat is the time between two writes of an upstream.
-const heartbeat = 1500 * time.Millisecond
-
 // run is one request that an upstream began to work on.
 type run struct {
 	attempt, upstream, method, target, service, tenant string
@@ -49,14 +46,10 @@
 	runs                       *runs
 	store                      *store
 	// answer replaces the answer to a request that has run, if it returns true.
-	answer func(u *upstream, w http.ResponseWriter, r *http.Request, body []byte) bool
+	answer func(u *upstream, w http.ResponseWriter, r *http.Request) bool
 
-	mu       sync.Mutex
-	busy     int
-	sequence int
-	state    string
-	stop     chan struct{}
-	server   *http.Server
+	mu   sync.Mutex
+	busy int
 }
 
 // start opens the listener of an upstream and registers it.
@@ -65,52 +58,20 @@
 	if err != nil {
 		return err
 	}
-	u.born, u.state, u.stop = time.Now().UnixMilli(), "ready", make(chan struct{})
-	u.server = &http.Server{Handler: http.HandlerFunc(u.serveHTTP)}
-	go u.server.Serve(listener) //nolint:errcheck // it ends with close
+	u.born = time.Now().UnixMilli()
+	server := &http.Server{Handler: http.HandlerFunc(u.serveHTTP)}
+	go server.Serve(listener) //nolint:errcheck // it ends with the process
 	u.write()
-	go u.beat()
 	return nil
 }
 
-// beat writes the registration each heartbeat. The entry in the store changes only if more than its
-// sequence changes, so nothing is written otherwise.
-func (u *upstream) beat() {
-	for {
-		select {
-		case <-u.stop:
-			return
-		case <-time.After(heartbeat):
-			u.mu.Lock()
-			u.sequence++
-			u.mu.Unlock()
-		}
-	}
-}
-
-// setState changes the state of the registration.
-func (u *upstream) setState(state string) {
-	u.mu.Lock()
-	u.state = state
-	u.mu.Unlock()
-	u.write()
-}
-
+// write registers an upstream. The entry in the store changes only if more than its sequence changes, so
+// later heartbeats would change nothing.
 func (u *upstream) write() {
-	u.mu.Lock()
-	u.sequence++
-	value := map[string]any{
+	u.store.put("servers/"+u.id, map[string]any{
 		"Address": u.address, "Info": map[string]any{"Service": u.service, "Version": "v1", "Zone": u.zone, "Slots": u.slots},
-		"Status": map[string]any{"State": u.state, "Sequence": u.sequence, "WarmupLeft": "0ms"}, "born": u.born,
-	}
-	u.mu.Unlock()
-	u.store.put("servers/"+u.id, value)
-}
-
-// close ends an upstream without a word.
-func (u *upstream) close() {
-	close(u.stop)
-	u.server.Close()
+		"Status": map[string]any{"State": "ready", "Sequence": 1, "WarmupLeft": "0ms"}, "born": u.born,
+	})
 }
 
 // take takes a slot, or returns false.
@@ -161,7 +122,7 @@
 	defer u.release()
 	u.runs.add(run{attempt, u.id, r.Method, r.RequestURI, r.Header.Get("Caller-Service"), r.Header.Get("Tenant"), time.Now(), len(body)})
 	u.record.logf("upstream %s (%s) runs %s: %s %s from %s", u.id, u.service, attempt, r.Method, r.RequestURI, r.Header.Get("Caller-Service"))
-	if u.answer != nil && u.answer(u, w, r, body) {
+	if u.answer != nil && u.answer(u, w, r) {
 		return
 	}
 	u.finish(w, r)
