--- a/review/standin-2/leave.go
+++ b/review/standin-2/leave.go
@@ -133,15 +133,17 @@
 		if _, err := io.WriteString(conn, lookupRequest(id)); err != nil {
 			return nil, true // it has crossed the end of the connection
 		}
+		f.record.logf("client sends %s to %s on a kept connection", id, m.ip)
 		resp, err := http.ReadResponse(reader, nil)
 		if err == nil {
 			_, err = io.Copy(io.Discard, resp.Body)
 			resp.Body.Close()
 		}
 		if err != nil {
-			f.record.logf("staying client: %s to %s has no answer: %v", id, m.ip, err)
+			f.record.logf("client gets no answer to %s from %s: %v", id, m.ip, err)
 			return []keptRequest{{id, m.ip}}, true
 		}
+		f.record.logf("client gets %d to %s", resp.StatusCode, id)
 		if resp.StatusCode == http.StatusOK {
 			served.Add(1)
 		}
@@ -182,12 +184,14 @@
 				if leaving {
 					time.Sleep(time.Duration(rand.Int64N(int64(patienceLimit))))
 					left.Add(1)
-					f.record.logf("client of %s to %s leaves", id, m.ip)
+					f.record.logf("client has sent %s to %s and leaves", id, m.ip)
 					return
 				}
+				f.record.logf("client sends %s to %s", id, m.ip)
 				conn.SetReadDeadline(time.Now().Add(8 * time.Second)) //nolint:errcheck // the read reports it
 				if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
 					resp.Body.Close()
+					f.record.logf("client gets %d to %s", resp.StatusCode, id)
 				}
 			})
 		}
