Pass on a status that promises "not run" only with a statement

Callers saw: an order that a gray backend server had run and failed with 503 was answered 503 without Not-Executed. One unsigned 421 without the name of another instance also took its backend server out of use for good, and was reported as not run. A 200 with Not-Executed was believed as a refusal.

Cause: platform.Dialect.CheckResponse decided alone. It looked at the signature of successes only, so that any failure without Not-Executed was the backend server's own answer, whatever its status promises. Nothing after it looked at the status.

Change: a dialect only reads what a head says (runstate.Response) and lists what statuses mean (runstate.Convention). runstate.Convention.Check decides. A refusal needs the statement, a status that fits it, and no proof of a run. Without them a status that promises becomes 502 with the outcome unknown, without the signature (unconfirmed_refusal). Repeatable requests are tried elsewhere. It counts as evidence like a 500.

Ruled out: the same conversion at the entry only. The home's detector would go on taking 429, and 503 with Retry-After, for shed load.

--- a/internal/dialect/cowslip.go
+++ b/internal/dialect/cowslip.go
@@ -7,8 +7,8 @@
 	"strings"
 	"time"
 
-	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/runstate"
 )
 
 // Cowslip is the dialect of this product.
@@ -50,17 +50,21 @@
 	}
 }
 
-// CheckResponse implements Dialect. Backend servers need not echo the request id, and do not state
-// that they did not run a request. A response with another request's id is invalid.
-func (Cowslip) CheckResponse(resp *http.Response, id string) *errkind.Error {
+// cowslipConvention: callers learn from the header Cowslip-Outcome whether their request ran, not from
+// its status. Backend servers cannot state that they did not run a request.
+var cowslipConvention runstate.Convention
+
+// Convention implements Dialect.
+func (Cowslip) Convention() *runstate.Convention { return &cowslipConvention }
+
+// ReadResponse implements Dialect. Backend servers need not echo the request id.
+func (Cowslip) ReadResponse(resp *http.Response, id string) runstate.Response {
+	said := runstate.Response{Status: resp.StatusCode, Names: runstate.NamesThis}
 	if got := resp.Header.Get(forward.HeaderRequestID); got != "" && got != id {
-		return errkind.New(errkind.AnswerInvalid, "the response has the id of another request")
+		said.Names = runstate.NamesOther
 	}
-	return nil
+	return said
 }
 
-// NamesRequest implements Dialect.
-func (Cowslip) NamesRequest(*http.Response, string) bool { return true }
-
 // AllowsCloseDelimited implements Dialect.
 func (Cowslip) AllowsCloseDelimited() bool { return false }
--- a/internal/dialect/dialect.go
+++ b/internal/dialect/dialect.go
@@ -4,7 +4,7 @@
 	"net/http"
 	"time"
 
-	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	"github.com/cowsliprun/cowsliprun/internal/runstate"
 )
 
 // Request is what a backend server is told about a request, besides what its caller sent.
@@ -47,14 +47,11 @@
 	// SetRequestHeaders sets the headers for the backend server and removes those that callers must
 	// not set.
 	SetRequestHeaders(h http.Header, r Request)
-	// CheckResponse returns nil if the response is the backend server's own response to the request
-	// with the id. Otherwise the error has an outcome of NotRun if the backend server states that
-	// it did not run the request, or the kind AnswerInvalid if the response does not fit the
-	// request.
-	CheckResponse(resp *http.Response, id string) *errkind.Error
-	// NamesRequest reports whether the response states that it belongs to the request with the id,
-	// or true if backend servers with this dialect never state that.
-	NamesRequest(resp *http.Response, id string) bool
+	// ReadResponse returns what the head of a backend server's response says about the request with
+	// the id.
+	ReadResponse(resp *http.Response, id string) runstate.Response
+	// Convention returns what statuses mean to callers and backend servers. It is not changed.
+	Convention() *runstate.Convention
 	// AllowsCloseDelimited reports whether the end of the connection may mark the end of a response
 	// without a length.
 	AllowsCloseDelimited() bool
--- a/internal/entry/loadplay_test.go
+++ b/internal/entry/loadplay_test.go
@@ -19,11 +19,11 @@
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/dialect"
 	"github.com/cowsliprun/cowsliprun/internal/entry"
-	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/home"
 	"github.com/cowsliprun/cowsliprun/internal/registry"
 	"github.com/cowsliprun/cowsliprun/internal/retry"
+	"github.com/cowsliprun/cowsliprun/internal/runstate"
 	"github.com/cowsliprun/cowsliprun/internal/suspicion"
 )
 
@@ -98,11 +98,14 @@
 // shedDialect is a dialect in which status 503 means that the request did not run.
 type shedDialect struct{ dialect.Cowslip }
 
-func (shedDialect) CheckResponse(resp *http.Response, _ string) *errkind.Error {
-	if resp.StatusCode == http.StatusServiceUnavailable {
-		return errkind.New(errkind.BackendShed, "refused")
-	}
-	return nil
+func (shedDialect) ReadResponse(resp *http.Response, id string) runstate.Response {
+	said := dialect.Cowslip{}.ReadResponse(resp, id)
+	said.StatesNotRun = resp.StatusCode == http.StatusServiceUnavailable
+	return said
+}
+
+func (shedDialect) Convention() *runstate.Convention {
+	return &runstate.Convention{Refusals: []int{http.StatusServiceUnavailable}}
 }
 
 // finalResponse records a response without its interim responses.
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -84,6 +84,9 @@
 	RepeatsLimited
 	// BackendFailed: the backend server ran the request and responded with a failure of its own.
 	BackendFailed
+	// UnconfirmedRefusal: the backend server responded with a status that callers take for a refusal,
+	// but does not state that it did not run the request.
+	UnconfirmedRefusal
 	// KeysUnconfirmed: the configuration has not been confirmed lately, so the API key of the request
 	// may have been revoked.
 	KeysUnconfirmed
@@ -173,6 +176,7 @@
 	BackendSuspect:      {Name: "backend_suspect", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	RepeatsLimited:      {Name: "repeats_limited", Status: 503, Outcome: NotRun, RetryElsewhere: true, RetryAfter: time.Second},
 	BackendFailed:       {Name: "backend_failed", Status: 502, Outcome: Unknown},
+	UnconfirmedRefusal:  {Name: "unconfirmed_refusal", Status: 502, Outcome: Unknown},
 	KeysUnconfirmed:     {Name: "keys_unconfirmed", Status: 503, Outcome: NotRun, RetryAfter: time.Second},
 	QuotaUnreachable:    {Name: "quota_unreachable", Status: 503, Outcome: NotRun, RetryAfter: time.Second},
 }
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -19,6 +19,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/dialect"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/runstate"
 )
 
 // bufferedResponseBytes is the largest response body that is read completely before its header is
@@ -137,21 +138,18 @@
 }
 
 // checkResponse returns nil if the response is the backend server's own one to the request with the
-// id. A refusal is believed only if it cannot be the copy of an earlier one.
+// id, and may be passed on.
 func (x *exchange) checkResponse(resp *http.Response, id string) *errkind.Error {
-	named := x.dialect.NamesRequest(resp, id)
-	if !named {
+	said := x.dialect.ReadResponse(resp, id)
+	said.Reused = forward.Reused(resp)
+	if said.Names != runstate.NamesThis {
 		// A late copy of this response could not be told from the response to the next request.
 		forward.CloseAfter(resp)
 	}
-	err := x.dialect.CheckResponse(resp, id)
-	if err == nil || err.Kind.Answer().Outcome != errkind.NotRun {
-		return err
-	}
-	if !named && forward.Reused(resp) {
-		return errkind.New(errkind.AnswerInvalid, "a refusal does not name its request, and may belong to an earlier one on the connection")
+	err := x.dialect.Convention().Check(said)
+	if err != nil && err.Kind.Answer().Outcome == errkind.NotRun {
+		forward.NoteRefusal(resp)
 	}
-	forward.NoteRefusal(resp)
 	return err
 }
 
--- a/internal/home/hostile_test.go
+++ b/internal/home/hostile_test.go
@@ -19,6 +19,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/dialect"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
+	"github.com/cowsliprun/cowsliprun/internal/runstate"
 )
 
 // hostileDeadline is the deadline of requests to hostile backend servers. hostileLimit ends a test
@@ -311,11 +312,14 @@
 // refusing is a dialect in which status 503 means that the request did not run.
 type refusing struct{ dialect.Cowslip }
 
-func (refusing) CheckResponse(resp *http.Response, _ string) *errkind.Error {
-	if resp.StatusCode == http.StatusServiceUnavailable {
-		return errkind.New(errkind.BackendShed, "refused")
-	}
-	return nil
+func (refusing) ReadResponse(resp *http.Response, id string) runstate.Response {
+	said := dialect.Cowslip{}.ReadResponse(resp, id)
+	said.StatesNotRun = resp.StatusCode == http.StatusServiceUnavailable
+	return said
+}
+
+func (refusing) Convention() *runstate.Convention {
+	return &runstate.Convention{Refusals: []int{http.StatusServiceUnavailable}}
 }
 
 // Guards against a success for a response whose head breaks off, at each byte of it, with a proper
@@ -380,15 +384,12 @@
 // naming is a dialect with refusals that name their request, if they are well formed.
 type naming struct{ refusing }
 
-func (naming) CheckResponse(resp *http.Response, id string) *errkind.Error {
-	if err := (dialect.Cowslip{}).CheckResponse(resp, id); err != nil {
-		return err
+func (naming) ReadResponse(resp *http.Response, id string) runstate.Response {
+	said := refusing{}.ReadResponse(resp, id)
+	if resp.Header.Get(forward.HeaderRequestID) == "" {
+		said.Names = runstate.NamesNone
 	}
-	return refusing{}.CheckResponse(resp, id)
-}
-
-func (naming) NamesRequest(resp *http.Response, id string) bool {
-	return resp.Header.Get(forward.HeaderRequestID) == id
+	return said
 }
 
 // Guards against "not run" for a request that runs: the copy of an earlier refusal arrives as its
--- a/internal/home/member.go
+++ b/internal/home/member.go
@@ -317,6 +317,8 @@
 		return ejection.Failed, true
 	case errkind.AnswerInvalid:
 		return ejection.Invalid, true
+	case errkind.UnconfirmedRefusal:
+		return ejection.Failed, true
 	case errkind.BackendShed:
 		return ejection.Shed, true
 	case errkind.DeadlineExceeded:
--- a/internal/retry/rules.go
+++ b/internal/retry/rules.go
@@ -145,7 +145,7 @@
 // connection, an operation key, or a deadline that has passed.
 func isRetryableUnknown(k errkind.Kind) bool {
 	switch k {
-	case errkind.BackendBroken, errkind.AnswerInvalid, errkind.PathBroken, errkind.Internal, errkind.BackendFailed:
+	case errkind.BackendBroken, errkind.AnswerInvalid, errkind.PathBroken, errkind.Internal, errkind.BackendFailed, errkind.UnconfirmedRefusal:
 		return true
 	default:
 		return false
