Do not keep a response that a home did not pass on

Cause: an entry that hears backend_failed keeps the response of the try for its caller. Only entries raise this kind, after they have received a response. Reported by a home of another version it comes without a body, and writing it ended with a nil pointer: the caller's connection broke.

Change: only a response that this entry has received is kept.

TestFailureReportedByHomeIsAnError failed before with that panic. Found while looking for errors that homes may report; no daemon sends it today.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -72,7 +72,7 @@
 		verdict := e.budgets.Next(time.Now(), &retryState, failure)
 		e.logRetryVerdict(t, failure.Kind, verdict, rounds)
 		switch {
-		case failure.Kind == errkind.BackendFailed:
+		case failure.Kind == errkind.BackendFailed && !t.reportedByHome:
 			failures.keepResponse(t)
 			if verdict != retry.Retry {
 				return failures.result(err)
--- a/internal/entry/oddstatus_test.go
+++ b/internal/entry/oddstatus_test.go
@@ -26,3 +26,22 @@
 		})
 	}
 }
+
+// Guards against a crash of the request, which ends the caller's connection, when a home daemon of another
+// version reports an error that only entries raise. It comes without a response that could be kept.
+func TestFailureReportedByHomeIsAnError(t *testing.T) {
+	for _, method := range []string{"GET", "POST"} {
+		e := newEntry(snapshotOf("127.0.0.1:1"), homeFunc(func(r *http.Request) (*http.Response, error) {
+			reportConnected(r)
+			resp := homeResponse(r, "failed")
+			resp.StatusCode = http.StatusBadGateway
+			resp.Header.Set(forward.HeaderOutcome, "unknown")
+			resp.Header.Set(forward.HeaderErrorKind, "backend_failed")
+			return resp, nil
+		}), nil)
+		w := sendRequest(e, method, "/stock/7", "")
+		if w.Code != http.StatusBadGateway || w.Header().Get(forward.HeaderErrorKind) != "backend_failed" || w.Header().Get(forward.HeaderOutcome) != "unknown" {
+			t.Errorf("%s: status %d, kind %q, outcome %q", method, w.Code, w.Header().Get(forward.HeaderErrorKind), w.Header().Get(forward.HeaderOutcome))
+		}
+	}
+}
--- a/internal/entry/queued.go
+++ b/internal/entry/queued.go
@@ -171,7 +171,7 @@
 	failure := retry.Failure{Backend: t.backend.ID, Kind: kind, BodyConsumed: !q.body.canResend(), Paid: t.successorPaid.Load()}
 	verdict := q.entry.budgets.Next(time.Now(), &q.retryState, failure)
 	q.entry.logRetryVerdict(t, kind, verdict, &retryRounds{})
-	if kind == errkind.BackendFailed {
+	if kind == errkind.BackendFailed && !t.reportedByHome {
 		q.failures.keepResponse(t)
 		if verdict != retry.Retry {
 			failed, _ = q.failures.result(err)
