Replace a backend server's 408 and 421 on the product's own interface

Callers saw: a backend server's 408 or 421 came through as it was. HTTP clients may repeat any request after these two, also one that is not idempotent (RFC 9110, sections 15.5.9 and 15.5.20), and do so without reading Cowslip-Outcome.

Change: the convention of the product's dialect lists both as promises, so they become 502 unconfirmed_refusal with the outcome unknown. 429 and 503 stay as they come: on this interface Cowslip-Outcome says whether a request ran, and RFC 9110 gives neither a meaning for that.

The rows for 408 and 421 of TestUnusualBackendResponses failed before. The rows for 429, 503 and headers of the system from a backend server passed before and stay as guards.

--- a/internal/dialect/cowslip.go
+++ b/internal/dialect/cowslip.go
@@ -51,8 +51,9 @@
 }
 
 // cowslipConvention: callers learn from the header Cowslip-Outcome whether their request ran, not from
-// its status. Backend servers cannot state that they did not run a request.
-var cowslipConvention runstate.Convention
+// its status. But clients may repeat any request after 408 and 421 without reading it (RFC 9110,
+// sections 15.5.9 and 15.5.20). Backend servers cannot state that they did not run a request.
+var cowslipConvention = runstate.Convention{Promises: []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest}}
 
 // Convention implements Dialect.
 func (Cowslip) Convention() *runstate.Convention { return &cowslipConvention }
--- a/internal/entry/responses_test.go
+++ b/internal/entry/responses_test.go
@@ -132,6 +132,11 @@
 		{"status 600", "GET", "HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok", 502, "backend_broken", "", false, -2},
 		{"blank in a name", "GET", "HTTP/1.1 200 OK\r\nX A: b\r\nContent-Length: 2\r\n\r\nok", 502, "backend_broken", "", false, -2},
 		{"length next to chunks", "GET", chunked + "Content-Length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n", 502, "backend_broken", "", false, -2},
+		{"status 408", "POST", "HTTP/1.1 408 Request Timeout\r\nContent-Length: 2\r\n\r\nno", 502, "unconfirmed_refusal", "", false, -2},
+		{"status 421", "POST", "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 2\r\n\r\nno", 502, "unconfirmed_refusal", "", false, -2},
+		{"status 429", "POST", "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno", 429, "", "no", false, 2},
+		{"status 503", "POST", "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno", 503, "", "no", false, 2},
+		{"words of the system", "POST", "HTTP/1.1 503 No\r\nCowslip-Outcome: not-run\r\nCowslip_Outcome: not-run\r\nCowslip-Error-Kind: backend_shed\r\nContent-Length: 2\r\n\r\nno", 503, "", "no", false, 2},
 		{"not HTTP", "GET", "SSH-2.0-x\r\n\r\n", 502, "backend_broken", "", false, -2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -146,6 +151,9 @@
 			}
 			defer resp.Body.Close()
 			got, err := io.ReadAll(resp.Body)
+			if outcome := resp.Header.Get(forward.HeaderOutcome); outcome != "answered" && outcome != "unknown" || resp.Header.Get("Cowslip_Outcome") != "" {
+				t.Errorf("outcome %q, other spelling %q of a request that has run", outcome, resp.Header.Get("Cowslip_Outcome"))
+			}
 			if resp.StatusCode != c.status || resp.Header.Get(forward.HeaderErrorKind) != c.kind {
 				t.Errorf("status %d, kind %q, want %d, %q: %s", resp.StatusCode, resp.Header.Get(forward.HeaderErrorKind), c.status, c.kind, got)
 			}
