--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -11,6 +11,7 @@
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/retry"
+	"github.com/cowsliprun/cowsliprun/internal/runstate"
 )
 
 // forward gets a response from a backend server and sends it to the caller.
@@ -43,7 +44,7 @@
 			return failures.result(errkind.New(errkind.Draining, "this daemon ends too soon to hand over further requests"))
 		}
 		if err := e.confirmKey(c); err != nil {
-			failures.record(err)
+			failures.tries.Record(err)
 			return failures.result(err)
 		}
 		choice, err := e.balancer.Pick(time.Now(), c.pickRequest(retryState.Excluded(), rounds.insist))
@@ -66,7 +67,7 @@
 			failures.release()
 			return t, nil
 		}
-		failures.record(err)
+		failures.tries.Record(err)
 		rounds.noteRefusal(errkind.Of(err))
 		failure := retry.Failure{Backend: choice.Backend.ID, Kind: errkind.Of(err), BodyConsumed: !c.body.canResend(), Paid: t.successorPaid.Load()}
 		verdict := e.budgets.Next(time.Now(), &retryState, failure)
@@ -131,10 +132,7 @@
 
 // failureRecord holds how the failed tries of one request ended.
 type failureRecord struct {
-	// last is the error of the last failed try.
-	last error
-	// mayHaveRun is the last failure after which the request may have run.
-	mayHaveRun error
+	tries runstate.Tries
 	// response is the last try to which the backend server responded with a failure of its own.
 	response *try
 }
@@ -159,29 +157,7 @@
 	if f.response != nil {
 		return f.response, nil
 	}
-	return nil, f.callerError(err)
-}
-
-// record records the error of a failed try.
-func (f *failureRecord) record(err error) {
-	f.last = err
-	if errkind.Of(err).Answer().Outcome != errkind.NotRun {
-		f.mayHaveRun = err
-	}
-}
-
-// callerError returns the error for the caller. The outcome must not be NotRun if an earlier try
-// may have run. The failure of a try tells more than err, which only says that there is no other
-// candidate.
-func (f *failureRecord) callerError(err error) error {
-	switch {
-	case f.mayHaveRun != nil:
-		return f.mayHaveRun
-	case f.last != nil:
-		return f.last
-	default:
-		return err
-	}
+	return nil, f.tries.Error(err)
 }
 
 // sendTry sends one try and reports how it ended to the balancer.
--- a/internal/entry/queued.go
+++ b/internal/entry/queued.go
@@ -108,7 +108,7 @@
 			return q.failures.result(errkind.New(errkind.Draining, "this daemon ends too soon to hand over further requests"))
 		}
 		if err := e.confirmKey(q.call); err != nil {
-			q.failures.record(err)
+			q.failures.tries.Record(err)
 			return q.failures.result(err)
 		}
 		choice, err := e.balancer.Pick(time.Now(), q.pick())
@@ -165,7 +165,7 @@
 // fail records a failed try. goOn is true if another one follows. failed is the try whose response
 // the caller gets, if it gets one of a backend server that failed.
 func (q *queuedCall) fail(ctx context.Context, t *try, err error) (goOn bool, failed *try) {
-	q.failures.record(err)
+	q.failures.tries.Record(err)
 	kind, before := errkind.Of(err), q.plan.Action()
 	q.note(t, kind)
 	failure := retry.Failure{Backend: t.backend.ID, Kind: kind, BodyConsumed: !q.body.canResend(), Paid: t.successorPaid.Load()}
