Answer 502 instead of 503 when the owner of an operation key is gone

Cause: owner_gone was the one kind with a status that promises "not run" and the outcome unknown: an earlier request with the key may have run. A caller that looks at the status alone sends the operation under a new key.

Change: 502, which promises nothing. Kind, outcome and detail stay.

TestPromisingStatusesNeedNotRun failed before and holds for all kinds.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -151,7 +151,7 @@
 	OperationConflict:   {Name: "operation_conflict", Status: 409, Outcome: NotRun},
 	OperationMemoryFull: {Name: "operation_memory_full", Status: 503, Outcome: NotRun, RetryAfter: time.Second},
 	AnswerNotRecorded:   {Name: "answer_not_recorded", Status: 409, Outcome: Ran},
-	OwnerGone:           {Name: "owner_gone", Status: 503, Outcome: Unknown},
+	OwnerGone:           {Name: "owner_gone", Status: 502, Outcome: Unknown},
 	RateLimited:         {Name: "rate_limited", Status: 429, Outcome: NotRun, RetryAfter: time.Second},
 	ConcurrencyLimited:  {Name: "concurrency_limited", Status: 429, Outcome: NotRun, RetryAfter: time.Second},
 	RequestTooLarge:     {Name: "request_too_large", Status: 413, Outcome: NotRun},
--- a/internal/errkind/errkind_test.go
+++ b/internal/errkind/errkind_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"testing"
 )
 
@@ -28,6 +29,23 @@
 	}
 }
 
+// Guards against a status from which callers conclude that the request has not run, for an error after
+// which it may have run.
+func TestPromisingStatusesNeedNotRun(t *testing.T) {
+	for k := Kind(0); k < kindCount; k++ {
+		switch a := k.Answer(); a.Status {
+		case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			if a.Outcome != NotRun {
+				t.Errorf("%s has status %d and the outcome %s", a.Name, a.Status, a.Outcome)
+			}
+		default:
+			if a.Outcome != NotRun && a.RetryAfter > 0 && a.Status >= 500 {
+				t.Errorf("%s tells when to come back, with status %d and the outcome %s", a.Name, a.Status, a.Outcome)
+			}
+		}
+	}
+}
+
 // Guards against an unknown name, for example from a newer daemon, that is read as a promise that
 // the request did not run.
 func TestUnknownNameDoesNotPromiseNotRun(t *testing.T) {
