Judge a backend server's failure at the entry as the detector does

Cause: the rule which response is a failure stood three times. The home's detector counted 5xx but for 503 with Retry-After. The entry's error share, the normal level that homes compare with, left out every 5xx with Retry-After, so a server that fails with 500 and Retry-After looked worse than the service by its whole error share. The entry repeated idempotent requests after 5xx, but never after 503, also without Retry-After.

Change: ejection.ResultOf is the one rule.

TestFailuresAreThoseOfTheDetector (503 without Retry-After: 503 after one try, though the next server served) and TestErrorShareCountsWhatTheDetectorCounts (500 with Retry-After: share 0) failed before.

--- a/internal/ejection/detector.go
+++ b/internal/ejection/detector.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/http"
 	"time"
 )
 
@@ -23,6 +24,18 @@
 	Abandoned
 )
 
+// ResultOf returns the result of a complete response that is the backend server's own.
+func ResultOf(status int, h http.Header) Result {
+	switch {
+	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable && h.Get("Retry-After") != "":
+		return Shed
+	case status >= http.StatusInternalServerError:
+		return Failed
+	default:
+		return OK
+	}
+}
+
 // Sample is one finished request.
 type Sample struct {
 	// ServiceTime is the time from sending the request to the backend server to the end of its
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,6 +8,7 @@
 
 	"github.com/cowsliprun/cowsliprun/internal/balance"
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
+	"github.com/cowsliprun/cowsliprun/internal/ejection"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/retry"
@@ -123,11 +124,10 @@
 	return service
 }
 
-// isServerFailure reports whether the backend server ran the request and responded with a failure.
-// A 503 is not one, because it may ask the caller to wait.
+// isServerFailure reports whether the backend server responded with a failure, in the terms of the
+// detector of its home.
 func (t *try) isServerFailure() bool {
-	status := t.response.StatusCode
-	return status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable
+	return ejection.ResultOf(t.response.StatusCode, t.response.Header) == ejection.Failed
 }
 
 // failureRecord holds how the failed tries of one request ended.
@@ -187,7 +187,7 @@
 	}
 	if err == nil {
 		e.balancer.Finished(now, t.choice, balance.Response{
-			Latency: t.latency, ServiceTime: serviceTime(t.response), Error: t.response.StatusCode >= 500 && t.response.Header.Get("Retry-After") == "",
+			Latency: t.latency, ServiceTime: serviceTime(t.response), Error: t.isServerFailure(),
 		})
 		return
 	}
--- a/internal/entry/responses_test.go
+++ b/internal/entry/responses_test.go
@@ -12,7 +12,9 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
+	"github.com/cowsliprun/cowsliprun/internal/balance"
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 	"github.com/cowsliprun/cowsliprun/internal/home"
@@ -225,3 +227,68 @@
 		}
 	})
 }
+
+// Guards against an entry that judges a failure differently from the detector of the home, and does not
+// repeat an idempotent request after 503 without Retry-After.
+func TestFailuresAreThoseOfTheDetector(t *testing.T) {
+	for _, c := range []struct {
+		status     int
+		retryAfter string
+		repeated   bool
+	}{{500, "", true}, {500, "1", true}, {502, "1", true}, {503, "", true}, {503, "1", false}, {429, "", false}, {429, "1", false}, {404, "", false}} {
+		fields := ""
+		if c.retryAfter != "" {
+			fields = "Retry-After: " + c.retryAfter + "\r\n"
+		}
+		failing := startRawBackend(t, fmt.Sprintf("HTTP/1.1 %d Status\r\n%sContent-Length: 0\r\n\r\n", c.status, fields))
+		snapshot := snapshotOf(failing, startRawBackend(t, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		first, second := fixedPeer{startHome(t, snapshot)}, fixedPeer{startHomeWith(t, snapshot, home.Options{VM: "vm1"})}
+		tries := 0
+		e := newEntry(snapshot, homeFunc(func(r *http.Request) (*http.Response, error) {
+			tries++
+			if r.URL.Host == "vm0:7001" {
+				return first.RoundTrip(r)
+			}
+			return second.RoundTrip(r)
+		}), nil)
+		if w := sendRequest(e, "GET", "/stock/7", ""); c.repeated && (w.Code != 200 || tries != 2) || !c.repeated && (w.Code != c.status || tries != 1) {
+			t.Errorf("status %d, Retry-After %q: the caller got %d after %d tries", c.status, c.retryAfter, w.Code, tries)
+		}
+	}
+}
+
+// Guards against a normal error share that leaves out failures with Retry-After, which the detector of the
+// home counts. Uses virtual time, because the share is sent once a second.
+func TestErrorShareCountsWhatTheDetectorCounts(t *testing.T) {
+	for _, c := range []struct {
+		status     int
+		retryAfter string
+		counts     bool
+	}{{500, "", true}, {500, "1", true}, {503, "", true}, {503, "1", false}, {429, "1", false}} {
+		synctest.Test(t, func(t *testing.T) {
+			sent, requests := "", 0
+			e := newEntry(snapshotOf("127.0.0.1:1"), homeFunc(func(r *http.Request) (*http.Response, error) {
+				reportConnected(r)
+				time.Sleep(200 * time.Millisecond)
+				if b := r.Header.Get(forward.HeaderBaseline); b != "" {
+					sent = b
+				}
+				resp := homeResponse(r, "answer")
+				if requests++; requests%2 == 0 {
+					resp.StatusCode = c.status
+					if c.retryAfter != "" {
+						resp.Header.Set("Retry-After", c.retryAfter)
+					}
+				}
+				resp.Header.Set(forward.HeaderServiceTime, "200000")
+				return resp, nil
+			}), nil)
+			for range 60 {
+				sendRequest(e, "POST", "/orders", "order")
+			}
+			if b, err := balance.ParseBaseline(sent); err != nil || b.Members == 0 || c.counts != (b.ErrorShare > 0.3) {
+				t.Errorf("half of the responses have status %d, Retry-After %q: baseline %q, counts as failure: want %v", c.status, c.retryAfter, sent, c.counts)
+			}
+		})
+	}
+}
--- a/internal/home/member.go
+++ b/internal/home/member.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
@@ -307,7 +306,7 @@
 // about the backend server.
 func (x *exchange) result(err error) (ejection.Result, bool) {
 	if err == nil {
-		return resultOfResponse(x.response), true
+		return ejection.ResultOf(x.response.StatusCode, x.response.Header), true
 	}
 	switch errkind.Of(err) {
 	case errkind.BackendUnreachable, errkind.BackendBroken:
@@ -324,26 +323,12 @@
 	case errkind.DeadlineExceeded:
 		return ejection.Abandoned, true
 	case errkind.PathBroken:
-		return resultOfResponse(x.response), true
+		return ejection.ResultOf(x.response.StatusCode, x.response.Header), true
 	default:
 		return ejection.OK, false
 	}
 }
 
-// resultOfResponse returns what the status of a complete response says about the backend server.
-// 429, and 503 with Retry-After, mean that it sheds load.
-func resultOfResponse(resp *http.Response) ejection.Result {
-	switch {
-	case resp.StatusCode == http.StatusTooManyRequests,
-		resp.StatusCode == http.StatusServiceUnavailable && resp.Header.Get("Retry-After") != "":
-		return ejection.Shed
-	case resp.StatusCode >= 500:
-		return ejection.Failed
-	default:
-		return ejection.OK
-	}
-}
-
 // tick records overdue requests as evidence and makes the transitions of the life cycle that are
 // due.
 func (m *member) tick(now time.Time) {
