Log failures that have the status of a refusal

Cause: a home logged responses that are broken, and not those that it replaces because nobody states that the request did not run. An operator saw 502 unconfirmed_refusal at callers and nothing that names the status.

TestHomeLogsUnconfirmedRefusal failed before (no line).

--- a/internal/entry/log_test.go
+++ b/internal/entry/log_test.go
@@ -177,6 +177,16 @@
 	})
 }
 
+// Guards against a backend server that fails requests with the status of a refusal, while no log of its
+// home shows it.
+func TestHomeLogsUnconfirmedRefusal(t *testing.T) {
+	lines, log := newLog(t)
+	snapshot := snapshotOf(startRawBackend(t, "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"))
+	address := startHomeWith(t, snapshot, home.Options{VM: "vm0", Log: log.Part("home")})
+	w := sendRequest(newLoggingEntry(snapshot, fixedPeer{address}, log), "POST", "/orders?token=SECRET", secretBody)
+	requireLine(t, lines.takeLines(), `status 421`, `level=warn msg="home: A backend server failed a request with the status of a refusal." backend=b0 service=stock vm=vm0 request=`+w.Header().Get(forward.HeaderRequestID))
+}
+
 // Guards against a backend server that breaks its responses for a reason that no log shows. The
 // home daemon must log it, and the entry must not log it again.
 func TestHomeLogsBrokenBackendResponse(t *testing.T) {
--- a/internal/home/log.go
+++ b/internal/home/log.go
@@ -10,18 +10,23 @@
 	"github.com/cowsliprun/cowsliprun/internal/forward"
 )
 
-// logFailure logs why a backend server gave no complete response. A request that the entry
+// logFailure logs why a backend server gave no complete response, or none that may be passed on. A request that the entry
 // abandoned is not logged. The backend server is the first key, because the logger limits repeated
 // lines by message and first value.
 func (h *Home) logFailure(ctx context.Context, m *member, r *http.Request, err error) {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
-	switch kind := errkind.Of(err); kind {
+	sentence := "A backend server gave no complete response."
+	kind := errkind.Of(err)
+	switch kind {
 	case errkind.BackendUnreachable, errkind.BackendBroken, errkind.AnswerInvalid, errkind.PathBroken:
-		h.log.Warn("A backend server gave no complete response.", "backend", m.id, "service", m.service, "vm", h.vm,
-			"request", r.Header.Get(forward.HeaderRequestID), "kind", kind, "cause", forward.Cause(err))
+	case errkind.UnconfirmedRefusal:
+		sentence = "A backend server failed a request with the status of a refusal."
+	default:
+		return
 	}
+	h.log.Warn(sentence, "backend", m.id, "service", m.service, "vm", h.vm, "request", r.Header.Get(forward.HeaderRequestID), "kind", kind, "cause", forward.Cause(err))
 }
 
 // logSuspicion logs that a backend server became suspect, so that requests that cannot be repeated
