--- a/internal/ejection/detector.go
+++ b/internal/ejection/detector.go
@@ -24,7 +24,8 @@
 	Abandoned
 )
 
-// ResultOf returns the result of a complete response that is the backend server's own.
+// ResultOf returns the result of a complete response with the status and the header. It must be the backend
+// server's own; package runstate tells.
 func ResultOf(status int, h http.Header) Result {
 	switch {
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable && h.Get("Retry-After") != "":
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -318,7 +318,7 @@
 		m.observe(time.Now(), x, err)
 		h.logFailure(ctx, m, r, err)
 		h.refuse(w, m, err)
-		return errkind.Of(err) == errkind.UnconfirmedRefusal
+		return errkind.Of(err) == errkind.UnconfirmedRefusal // a failure that took its time, like a 500
 	}
 	defer x.response.Body.Close()
 	h.respond(ctx, w, r, m, x)
