--- a/internal/dialect/cowslip.go
+++ b/internal/dialect/cowslip.go
@@ -60,11 +60,11 @@
 
 // ReadResponse implements Dialect. Backend servers need not echo the request id.
 func (Cowslip) ReadResponse(resp *http.Response, id string) runstate.Response {
-	said := runstate.Response{Status: resp.StatusCode, Names: runstate.NamesThis}
+	head := runstate.Response{Status: resp.StatusCode, Names: runstate.NamesThis}
 	if got := resp.Header.Get(forward.HeaderRequestID); got != "" && got != id {
-		said.Names = runstate.NamesOther
+		head.Names = runstate.NamesOther
 	}
-	return said
+	return head
 }
 
 // AllowsCloseDelimited implements Dialect.
--- a/internal/entry/loadplay_test.go
+++ b/internal/entry/loadplay_test.go
@@ -99,9 +99,9 @@
 type shedDialect struct{ dialect.Cowslip }
 
 func (shedDialect) ReadResponse(resp *http.Response, id string) runstate.Response {
-	said := dialect.Cowslip{}.ReadResponse(resp, id)
-	said.StatesNotRun = resp.StatusCode == http.StatusServiceUnavailable
-	return said
+	head := dialect.Cowslip{}.ReadResponse(resp, id)
+	head.StatesNotRun = resp.StatusCode == http.StatusServiceUnavailable
+	return head
 }
 
 func (shedDialect) Convention() *runstate.Convention {
--- a/internal/entry/responses_test.go
+++ b/internal/entry/responses_test.go
@@ -138,7 +138,7 @@
 		{"status 421", "POST", "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 2\r\n\r\nno", 502, "unconfirmed_refusal", "", false, -2},
 		{"status 429", "POST", "HTTP/1.1 429 Too Many Requests\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno", 429, "", "no", false, 2},
 		{"status 503", "POST", "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno", 503, "", "no", false, 2},
-		{"words of the system", "POST", "HTTP/1.1 503 No\r\nCowslip-Outcome: not-run\r\nCowslip_Outcome: not-run\r\nCowslip-Error-Kind: backend_shed\r\nContent-Length: 2\r\n\r\nno", 503, "", "no", false, 2},
+		{"system headers of a backend server", "POST", "HTTP/1.1 503 No\r\nCowslip-Outcome: not-run\r\nCowslip_Outcome: not-run\r\nCowslip-Error-Kind: backend_shed\r\nContent-Length: 2\r\n\r\nno", 503, "", "no", false, 2},
 		{"not HTTP", "GET", "SSH-2.0-x\r\n\r\n", 502, "backend_broken", "", false, -2},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/home/exchange.go
+++ b/internal/home/exchange.go
@@ -140,13 +140,13 @@
 // checkResponse returns nil if the response is the backend server's own one to the request with the
 // id, and may be passed on.
 func (x *exchange) checkResponse(resp *http.Response, id string) *errkind.Error {
-	said := x.dialect.ReadResponse(resp, id)
-	said.Reused = forward.Reused(resp)
-	if said.Names != runstate.NamesThis {
+	head := x.dialect.ReadResponse(resp, id)
+	head.Reused = forward.Reused(resp)
+	if head.Names != runstate.NamesThis {
 		// A late copy of this response could not be told from the response to the next request.
 		forward.CloseAfter(resp)
 	}
-	err := x.dialect.Convention().Check(said)
+	err := x.dialect.Convention().Check(head)
 	if err != nil && err.Kind.Answer().Outcome == errkind.NotRun {
 		forward.NoteRefusal(resp)
 	}
--- a/internal/home/hostile_test.go
+++ b/internal/home/hostile_test.go
@@ -313,9 +313,9 @@
 type refusing struct{ dialect.Cowslip }
 
 func (refusing) ReadResponse(resp *http.Response, id string) runstate.Response {
-	said := dialect.Cowslip{}.ReadResponse(resp, id)
-	said.StatesNotRun = resp.StatusCode == http.StatusServiceUnavailable
-	return said
+	head := dialect.Cowslip{}.ReadResponse(resp, id)
+	head.StatesNotRun = resp.StatusCode == http.StatusServiceUnavailable
+	return head
 }
 
 func (refusing) Convention() *runstate.Convention {
@@ -385,11 +385,11 @@
 type naming struct{ refusing }
 
 func (naming) ReadResponse(resp *http.Response, id string) runstate.Response {
-	said := refusing{}.ReadResponse(resp, id)
+	head := refusing{}.ReadResponse(resp, id)
 	if resp.Header.Get(forward.HeaderRequestID) == "" {
-		said.Names = runstate.NamesNone
+		head.Names = runstate.NamesNone
 	}
-	return said
+	return head
 }
 
 // Guards against "not run" for a request that runs: the copy of an earlier refusal arrives as its
