--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -22,6 +22,14 @@
 	record *record
 	net.Conn
 	in *bufio.Reader
+	// quiet keeps its requests out of the record.
+	quiet bool
+}
+
+func (c *connection) note(format string, args ...any) {
+	if !c.quiet {
+		c.record.note(format, args...)
+	}
 }
 
 func dial(r *record, address string) (*connection, error) {
@@ -29,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &connection{r, conn, bufio.NewReader(conn)}, nil
+	return &connection{record: r, Conn: conn, in: bufio.NewReader(conn)}, nil
 }
 
 // request is one attempt of a client.
@@ -67,7 +75,7 @@
 		o.err = err
 		return o
 	}
-	c.record.note("client: sent %s %s, attempt %s, key %q", q.method, q.path, o.attempt, q.key)
+	c.note("client: sent %s %s, attempt %s, key %q", q.method, q.path, o.attempt, q.key)
 	c.receive(&o, q)
 	return o
 }
@@ -78,13 +86,13 @@
 	resp, err := http.ReadResponse(c.in, &http.Request{Method: q.method})
 	if err != nil {
 		o.err = err
-		c.record.note("client: attempt %s got no answer after %v: %v", o.attempt, time.Since(o.sent).Round(time.Millisecond), err)
+		c.note("client: attempt %s got no answer after %v: %v", o.attempt, time.Since(o.sent).Round(time.Millisecond), err)
 		return
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	o.status, o.signed, o.body, o.err = resp.StatusCode, resp.Header.Get("Response-Signature") != "", string(body), err
-	c.record.note("client: attempt %s got status %d, signed: %v, %d bytes, after %v, error: %v, %.120q", o.attempt, o.status, o.signed, len(body), time.Since(o.sent).Round(time.Millisecond), err, o.ownText())
+	c.note("client: attempt %s got status %d, signed: %v, %d bytes, after %v, error: %v, %.120q", o.attempt, o.status, o.signed, len(body), time.Since(o.sent).Round(time.Millisecond), err, o.ownText())
 	if resp.Close {
 		c.Close()
 	}
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -29,6 +29,7 @@
 	store        *store
 	machines     []*machine
 	strictRevoke bool
+	quotas       bool
 	record       *record
 }
 
@@ -175,15 +176,15 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// startAll starts all daemons and waits until they are ready.
-func (f *fleet) startAll() error {
-	for _, m := range f.machines {
+// startAll starts the daemons of the machines and waits until they are ready.
+func (f *fleet) startAll(machines []*machine) error {
+	for _, m := range machines {
 		if err := m.start(); err != nil {
 			return err
 		}
 	}
 	end := time.Now().Add(15 * time.Second)
-	for _, m := range f.machines {
+	for _, m := range machines {
 		for !m.isReady() {
 			if time.Now().After(end) {
 				return fmt.Errorf("daemon %s is not ready", m.ip)
--- a/review/standin-3/restoredkey.go
+++ b/review/standin-3/restoredkey.go
@@ -36,7 +36,7 @@
 		return c
 	}
 	f.publish(withKeys(7, "kept-1", "taken-1"))
-	if err := f.startAll(); err != nil {
+	if err := f.startAll(f.machines); err != nil {
 		return verdict{err: err}
 	}
 	time.Sleep(time.Second)
--- a/review/standin-3/settings.go
+++ b/review/standin-3/settings.go
@@ -143,6 +143,9 @@
 	if f.strictRevoke {
 		bounds["StrictRevoke"], bounds["Revoke"] = true, "5s"
 	}
+	if f.quotas {
+		bounds["QuotaWindow"], bounds["QuotaExcess"], bounds["QuotaSlack"] = "5s", quotaExcess, quotaSlack
+	}
 	text, err := render(string(template), map[string]any{
 		"Ip": m.ip, "Zone": m.zone, "Region": m.region, "Service": m.service, "AppAddr": m.appAddress(),
 		"Listen":    map[string]any{"Outbound": m.outbound(), "Inbound": m.address(f.ports.inbound), "Ready": m.ready()},
--- a/review/standin-3/slowupload.go
+++ b/review/standin-3/slowupload.go
@@ -30,7 +30,7 @@
 		}
 	}
 	f.publish(configuration(7, "15000ms", []string{"supplier-hub", "buyer-portal"}, route("upload", "/pule252/", "upload", "supplier-hub", "8000ms")))
-	if err := f.startAll(); err != nil {
+	if err := f.startAll(f.machines); err != nil {
 		return verdict{err: err}
 	}
 	time.Sleep(2 * contact)
--- a/review/standin-3/unlisted.go
+++ b/review/standin-3/unlisted.go
@@ -31,7 +31,7 @@
 	}
 	services := []string{"buyer-portal", "supplier-hub"}
 	f.publish(configuration(7, "15000ms", services, route("order", "/pufi791/", "non_idempotent", "buyer-portal", "4000ms")))
-	if err := f.startAll(); err != nil {
+	if err := f.startAll(f.machines); err != nil {
 		return verdict{err: err}
 	}
 	turnedAway, draining := f.machines[0], f.machines[1]
--- a/review/standin-3/upstream.go
+++ b/review/standin-3/upstream.go
@@ -25,6 +25,10 @@
 	state    string
 	sequence int
 	left     bool
+	// paused keeps the upstream from registering.
+	paused bool
+	// quiet keeps its requests out of the record.
+	quiet bool
 }
 
 func newUpstream(m *machine, id string) (*upstream, error) {
@@ -52,6 +56,9 @@
 	if u.left {
 		return false
 	}
+	if u.paused {
+		return true
+	}
 	u.sequence++
 	u.machine.fleet.store.putEntry("servers/"+u.id, u.entry())
 	return true
@@ -68,6 +75,28 @@
 	return string(text)
 }
 
+// pause removes the entry of an upstream that has yet to start, and resume registers it.
+func (u *upstream) pause() {
+	u.mu.Lock()
+	u.paused = true
+	u.mu.Unlock()
+	u.machine.fleet.store.remove("servers/" + u.id)
+}
+
+func (u *upstream) resume() {
+	u.mu.Lock()
+	u.paused, u.born = false, time.Now().UnixMilli()
+	u.mu.Unlock()
+	u.register()
+}
+
+// note records what happens to a request unless the upstream is quiet.
+func (u *upstream) note(format string, args ...any) {
+	if !u.quiet {
+		u.machine.fleet.record.note(format, args...)
+	}
+}
+
 // drain reports that the upstream is draining. The store has acknowledged that when it returns.
 func (u *upstream) drain() {
 	u.mu.Lock()
@@ -105,12 +134,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	u.machine.fleet.record.note("upstream %s: request %s begins, key passed on: %q, tenant: %q", u.id, id, r.Header.Get("Key"), r.Header.Get("Tenant"))
+	u.note("upstream %s: request %s begins, key passed on: %q, tenant: %q", u.id, id, r.Header.Get("Key"), r.Header.Get("Tenant"))
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
-		u.machine.fleet.record.note("upstream %s: request %s has no end: %v", u.id, id, err)
+		u.note("upstream %s: request %s has no end: %v", u.id, id, err)
 		return
 	}
 	u.work(w, r, began)
-	u.machine.fleet.record.note("upstream %s: request %s ends, %s", u.id, id, fmt.Sprint(len(body), " bytes received"))
+	u.note("upstream %s: request %s ends, %s", u.id, id, fmt.Sprint(len(body), " bytes received"))
 }
