review: Show ready servers that stay unused after a drill of the store

Cause: a registration in the first list of a new era is refused for good if its incarnation was removed in an earlier era, also if the server is alive.

--- a/review/standin-3/upstream.go
+++ b/review/standin-3/upstream.go
@@ -90,6 +90,13 @@
 	u.register()
 }
 
+// setPaused cuts the upstream off from the store, or ends that.
+func (u *upstream) setPaused(paused bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.paused = paused
+}
+
 // note records what happens to a request unless the upstream is quiet.
 func (u *upstream) note(format string, args ...any) {
 	if !u.quiet {
