--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -9,7 +9,6 @@
 const (
 	configBound = 2500 * time.Millisecond
 	contact     = 3 * time.Second
-	drainBound  = 2500 * time.Millisecond
 	revokeBound = 5 * time.Second
 )
 
--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -105,8 +104,3 @@
 	}
 	return o.body
 }
-
-// isClosed reports whether the connection ended without an answer.
-func (o *outcome) isClosed() bool {
-	return o.err != nil && (errors.Is(o.err, io.EOF) || errors.Is(o.err, io.ErrUnexpectedEOF) || strings.Contains(o.err.Error(), "reset"))
-}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,7 +27,7 @@
 
 // cases are the cases by name. trouble is false for a run without the disruption.
 var cases = map[string]func(r *record, trouble bool) verdict{
-	"restored-key": restoredKey, "slow-upload": slowUpload, "unlisted": unlisted, "two-holders": twoHolders, "unused-server": unusedServer,
+	"restored-key": restoredKey, "unlisted": unlisted, "two-holders": twoHolders, "unused-server": unusedServer,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-3/upstream.go
+++ b/review/standin-3/upstream.go
@@ -24,7 +24,6 @@
 	mu       sync.Mutex
 	state    string
 	sequence int
-	left     bool
 	// paused keeps the upstream from registering.
 	paused bool
 	// quiet keeps its requests out of the record.
@@ -42,26 +41,23 @@
 	go u.server.Serve(listener) //nolint:errcheck // it ends with the process
 	u.register()
 	go func() {
-		for u.register() {
+		for {
 			time.Sleep(heartbeat)
+			u.register()
 		}
 	}()
 	return u, nil
 }
 
-// register writes the entry and returns false once the upstream has left.
-func (u *upstream) register() bool {
+// register writes the entry, unless the upstream is cut off from the store.
+func (u *upstream) register() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.left {
-		return false
-	}
 	if u.paused {
-		return true
+		return
 	}
 	u.sequence++
 	u.machine.fleet.store.putEntry("servers/"+u.id, u.entry())
-	return true
 }
 
 // entry returns what the upstream says of itself. The caller holds mu.
@@ -112,15 +108,6 @@
 	u.register()
 }
 
-// leave ends the upstream and removes its entry.
-func (u *upstream) leave() {
-	u.mu.Lock()
-	u.left = true
-	u.mu.Unlock()
-	u.server.Close()
-	u.machine.fleet.store.remove("servers/" + u.id)
-}
-
 // answer answers with success.
 func (u *upstream) answer(w http.ResponseWriter, body string) {
 	w.Header().Set("Response-Signature", "3e1b.07."+u.id)
