--- a/test/scenario/harness_test.go
+++ b/test/scenario/harness_test.go
@@ -4,13 +4,11 @@
 	"context"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"os"
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -18,6 +16,7 @@
 
 	"github.com/cowsliprun/cowsliprun/internal/contract"
 	"github.com/cowsliprun/cowsliprun/internal/standin/fleet"
+	"github.com/cowsliprun/cowsliprun/internal/standin/freeport"
 )
 
 // stepTimeout limits each wait of a scenario, so that none waits forever. It is no performance
@@ -264,29 +263,12 @@
 	h.paused[name] = paused
 }
 
-// The ports of a fleet lie below the kernel's range of ephemeral ports, so that the port of a
-// stopped process stays free until the process starts again.
-const (
-	firstPort = 20000
-	portCount = 12000
-)
-
-// nextPort counts the ports tried so far. Its start depends on the process id, so that test
-// processes that run at the same time seldom try the same ports.
-var nextPort atomic.Int64
-
-func init() { nextPort.Store(int64(os.Getpid()) * 61) }
-
-// freeAddress returns a loopback address on which nothing listens. Other scenarios of this process
-// do not get the same one until all ports have been tried.
+// freeAddress returns a loopback address on which nothing listens. Nobody else gets it, so that it is
+// still free when the daemon that has it starts again.
 func freeAddress() string {
-	for range portCount {
-		port := firstPort + int(nextPort.Add(1))%portCount
-		listener, err := net.Listen("tcp", "127.0.0.1:"+strconv.Itoa(port))
-		if err == nil {
-			listener.Close()
-			return listener.Addr().String()
-		}
+	port, err := freeport.Next(1)
+	if err != nil {
+		panic(err)
 	}
-	panic(fmt.Sprintf("no free loopback port from %d to %d", firstPort, firstPort+portCount-1))
+	return "127.0.0.1:" + strconv.Itoa(port)
 }
