Let no daemon stay behind because of a list that it learns from the store

Cause: who reads the store was chosen from the registrations in force. Cuts end registrations, and that they have returned shows only in the store. After cuts in a row the others know only VMs that are cut off by now. As their own daemon is not in their list they do not try to read, and as they hear from the silent readers they do not count as alone. Ruled out: a slow take-over; no daemon in touch with the store had tried.

Change: a daemon is always in its own order, at the end if the list lacks it. Daemons of leaving servers and of registrations that ended within 5 minutes stand behind the others. A reader that takes over and has had no answer probes once in a step. It works since no list can keep a daemon from trying any more; what bounds the calls is time.

--- a/internal/daemon/registryquota.go
+++ b/internal/daemon/registryquota.go
@@ -86,8 +86,13 @@
 // is draining hold none.
 func (q *registryQuota) update(now time.Time, registrations []*registry.Registration, options *registry.BuildOptions) {
 	var daemons []quota.Daemon
-	for _, peer := range feedPeersOf(registrations, options.PeerPort, func(r *registry.Registration) bool { return !r.Draining }) {
-		daemons = append(daemons, quota.Daemon{VM: peer.VM, Region: options.Regions[peer.DataCentre], Address: peer.Address})
+	seen := map[string]bool{}
+	for _, c := range feedCandidates(registrations, options) {
+		if c.Draining || seen[c.VM] {
+			continue
+		}
+		seen[c.VM] = true
+		daemons = append(daemons, quota.Daemon{VM: c.VM, Region: c.Region, Address: c.Address})
 	}
 	p := quota.NewPlan(q.regions, daemons)
 	if p.Equal(q.plan) {
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -41,6 +42,13 @@
 	s.write(registry.Change{Key: id, Registration: &registry.Registration{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 1}})
 }
 
+// drain writes that a backend server is leaving, remove that its registration has ended.
+func (s *memoryStore) drain(id string) {
+	s.write(registry.Change{Key: id, Registration: &registry.Registration{ID: id, Service: "s", Address: "10.0.0.1:1", Slots: 1, Draining: true}})
+}
+
+func (s *memoryStore) remove(id string) { s.write(registry.Change{Key: id, Removed: true}) }
+
 // write writes a value at the next revision.
 func (s *memoryStore) write(c registry.Change) {
 	s.mu.Lock()
@@ -112,7 +120,17 @@
 
 func (v daemonStore) List(context.Context, func()) ([]registry.Change, uint64, error) {
 	changes, revision, _ := v.after(0)
-	return changes, revision, nil
+	latest := map[string]registry.Change{}
+	for _, c := range changes {
+		latest[c.Key] = c
+	}
+	items := make([]registry.Change, 0, len(latest))
+	for _, key := range slices.Sorted(maps.Keys(latest)) {
+		if !latest[key].Removed {
+			items = append(items, latest[key])
+		}
+	}
+	return items, revision, nil
 }
 
 func (v daemonStore) Peek(ctx context.Context) ([]registry.Change, error) {
--- a/internal/feed/region_test.go
+++ b/internal/feed/region_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,9 +63,9 @@
 	// uplink carries what the daemon sends, if the region's links are limited.
 	uplink link
 
-	mu    sync.Mutex
-	table *registry.Table
-	peers []Peer
+	mu     sync.Mutex
+	table  *registry.Table
+	roster Roster
 }
 
 // newRegion returns a region of which no backend server is registered and no daemon runs yet.
@@ -149,7 +150,7 @@
 func (n *regionNode) knownPeers() []Peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.peers
+	return n.roster.Near
 }
 
 func (n *regionNode) apply(u registry.Update) bool {
@@ -163,14 +164,29 @@
 		n.table.SetComplete(u.Revision)
 	}
 	if changed {
-		n.peers = nil
-		for _, r := range n.table.Registrations() {
-			n.peers = append(n.peers, Peer{VM: r.ID, DataCentre: dataCentreOf(r.ID), Address: r.ID})
-		}
+		n.roster = NewRoster(regionOf(n.vm), candidatesOf(n.table.Registrations()), candidatesOf(n.table.Former()))
 	}
 	return changed
 }
 
+// candidatesOf returns the daemons beside registered backend servers.
+func candidatesOf(registrations []*registry.Registration) []Candidate {
+	var out []Candidate
+	for _, r := range registrations {
+		out = append(out, Candidate{Peer{VM: r.ID, DataCentre: dataCentreOf(r.ID), Address: r.ID}, regionOf(r.ID), r.Draining})
+	}
+	return out
+}
+
+// regionOf returns the region of a VM: the part of its id before a slash.
+func regionOf(vm string) string {
+	region, _, found := strings.Cut(vm, "/")
+	if !found {
+		return ""
+	}
+	return region
+}
+
 // RoundTrip implements http.RoundTripper with a stream of another daemon of the region.
 func (n *regionNode) RoundTrip(req *http.Request) (*http.Response, error) {
 	to := n.region.nodes[req.URL.Host]
@@ -282,7 +298,7 @@
 func (n *regionNode) knows(key string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return slices.ContainsFunc(n.peers, func(p Peer) bool { return p.VM == key })
+	return slices.ContainsFunc(n.table.Registrations(), func(r *registry.Registration) bool { return r.ID == key })
 }
 
 // change registers a backend server and requires that all daemons know it within the limit.
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -345,10 +345,7 @@
 	elapsed := now.Sub(s.start)
 	v := view{self: s.options.Self, dataCentre: s.options.DataCentre, complete: s.fresh.Load()}
 	maps.DeleteFunc(s.avoidUntil, func(_ string, until time.Time) bool { return !now.Before(until) })
-	v.peers = s.options.Peers()
-	if len(s.avoidUntil) > 0 {
-		v.peers = slices.DeleteFunc(slices.Clone(v.peers), func(p Peer) bool { return !s.avoidUntil[p.VM].IsZero() })
-	}
+	v.peers, v.unlisted = s.order()
 	v.lost = elapsed - time.Duration(s.reached.Load())
 	for _, st := range s.streams {
 		last := st.lastFrame.Load()
@@ -358,6 +355,24 @@
 	return v
 }
 
+// order returns the daemons of the region in the agreed order without those that are avoided, or none
+// while none are known. The daemon itself is always one of them, and unlisted if it was added. The
+// caller holds mu.
+func (s *Source) order() (peers []Peer, unlisted bool) {
+	peers = s.options.Peers()
+	if len(peers) == 0 {
+		return nil, false
+	}
+	if len(s.avoidUntil) > 0 {
+		peers = slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return !s.avoidUntil[p.VM].IsZero() })
+	}
+	if containsVM(peers, s.options.Self) {
+		return peers, false
+	}
+	self := Peer{VM: s.options.Self, DataCentre: s.options.DataCentre, Standby: true}
+	return append(slices.Clip(peers), self), true
+}
+
 // follow starts a stream to a peer unless there is one, or another one is about to bring the first
 // full state. The caller holds mu.
 func (s *Source) follow(ctx context.Context, now time.Time, p Peer, reader bool) {
--- a/internal/registry/entry.go
+++ b/internal/registry/entry.go
@@ -44,8 +44,10 @@
 	// it became known.
 	removedRevision uint64
 	removedAt       time.Time
-	// leftStart is the latest start of an incarnation that has left, or 0.
+	// leftStart is the latest start of an incarnation that has left, or 0, and left the registration that
+	// has left last.
 	leftStart int64
+	left      *Registration
 	// held is the registration that was removed during a hold, nil if there is none. heldRevision is
 	// that of its last write.
 	held         *Registration
@@ -147,7 +149,7 @@
 }
 
 // noteLeft records that an incarnation has left.
-func (e *entry) noteLeft(r *Registration) { e.leftStart = max(e.leftStart, r.Started) }
+func (e *entry) noteLeft(r *Registration) { e.leftStart, e.left = max(e.leftStart, r.Started), r }
 
 // endHold ends the hold of a registration whose time is over, and reports whether there was one.
 func (e *entry) endHold(now time.Time) bool {
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -74,6 +74,9 @@
 	// to maxBackoff, which bounds how late the reader notices that the store is back.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 600 * time.Millisecond
+	// takeoverBackoff is the shortest delay of a reader that takes over from others and has had no
+	// response yet. Many daemons do so at once while the store is away, and each is to try once.
+	takeoverBackoff = 300 * time.Millisecond
 	// outageThreshold is the time without a response after which registrations may have expired in
 	// the store.
 	outageThreshold = time.Second
@@ -345,5 +348,9 @@
 	r.failing.Store(true)
 	r.storeAvailable.Store(false)
 	r.onStatus()
-	pause.For(ctx, min(maxBackoff, initialBackoff<<min(s.consecutiveFailures-1, 4)))
+	backoff := min(maxBackoff, initialBackoff<<min(s.consecutiveFailures-1, 4))
+	if r.after != 0 && r.lastContact.Load() == 0 {
+		backoff = max(backoff, takeoverBackoff)
+	}
+	pause.For(ctx, backoff)
 }
--- a/internal/registry/table.go
+++ b/internal/registry/table.go
@@ -203,6 +203,18 @@
 	return out
 }
 
+// Former returns the latest registrations of keys that have none in use, ordered by key, for as long as
+// their removal is remembered. Their daemons may still be there.
+func (t *Table) Former() []*Registration {
+	var out []*Registration
+	for _, key := range t.keys() {
+		if e := t.entries[key]; e.left != nil && e.inUse().registration == nil {
+			out = append(out, e.left)
+		}
+	}
+	return out
+}
+
 // inUse returns the writes of the registrations in use, ordered by key.
 func (t *Table) inUse() []write {
 	var out []write
