Take no read of a new era for proof that nothing newer was acknowledged

Cause: a starting daemon only asked daemons of its own region, and took its own list for the newest state there is; feed.confirm took any read for proof that no later version had been acknowledged. In a new era a read shows what the copy knew. Ruled out: confirmations from before the drill.

Change: a daemon keeps whether the present era is settled (feed.eraState): 2.5 s after it was first seen, if other regions were heard since, after 10 s without them, or at once by the word of a daemon that has seen it through. Until then a read confirms no keys and a list makes no daemon serve, so that it has no part of a quota either, and readers follow two daemons of each other region. Era 0 is always settled.

--- a/internal/daemon/registry.go
+++ b/internal/daemon/registry.go
@@ -107,8 +107,9 @@
 	// versionInForce is the version of the operator's configuration in snapshot.
 	keys           *keylease.Lease
 	versionInForce atomic.Uint64
-	// roster holds the daemons that the feed may follow. Before the table is fresh they may be outdated.
-	roster atomic.Pointer[feed.Roster]
+	// feedPeers are the daemons that the feed may follow. Before the table is fresh they may be
+	// outdated.
+	feedPeers atomic.Pointer[[]feed.Peer]
 	// originService is the service stated as the origin of callers' requests. Reload may change it.
 	originService atomic.Pointer[string]
 	// leaving is set when the drain begins, and stopping when no more requests are handed over.
@@ -152,7 +153,7 @@
 	d.keys = d.newKeyLease()
 	d.feed = feed.New(feed.Options{
 		Self: s.VM, DataCentre: s.DataCentre, Store: o.Store(s.Registry.URL), Transport: forward.NewPeerTransport(forward.PeerOptions{}),
-		Peers: func() []feed.Peer { return d.roster.Load().Near }, Apply: d.applyUpdate, State: d.registryState, RemovalHold: d.removalHold,
+		Peers: func() []feed.Peer { return *d.feedPeers.Load() }, RemotePeers: d.remoteFeedPeers, Apply: d.applyUpdate, State: d.registryState, RemovalHold: d.removalHold,
 		LinkBytesPerSecond: s.Limits.LinkMbps * bytesPerSecondOfMbps, Keys: d.keys, Log: log.Part("registry"),
 	})
 	d.buildOptions = registry.BuildOptions{
@@ -164,7 +165,7 @@
 	}
 	d.buildOptions.Regions[s.DataCentre] = s.Region
 	d.originService.Store(&s.Application.Service)
-	d.roster.Store(&feed.Roster{})
+	d.feedPeers.Store(new([]feed.Peer))
 	seed := newIncarnation()
 	suspect := suspicion.Default()
 	d.home = home.New(home.Options{
--- a/internal/daemon/registrypeers.go
+++ b/internal/daemon/registrypeers.go
@@ -9,11 +9,18 @@
 	"github.com/cowsliprun/cowsliprun/internal/registry"
 )
 
-// updateRoster finds the daemons that the feed may follow. The caller holds mu.
-func (d *RegistryDaemon) updateRoster() {
-	registered := feedCandidates(d.table.Registrations(), &d.buildOptions)
-	roster := feed.NewRoster(d.settings.Region, registered, feedCandidates(d.table.Former(), &d.buildOptions))
-	d.roster.Store(&roster)
+// updateFeedPeers finds the daemons that the feed may follow. The caller holds mu.
+func (d *RegistryDaemon) updateFeedPeers() {
+	registered, former := feedCandidates(d.table.Registrations(), &d.buildOptions), feedCandidates(d.table.Former(), &d.buildOptions)
+	peers := feed.NearPeers(d.settings.Region, registered, former)
+	d.feedPeers.Store(&peers)
+}
+
+// remoteFeedPeers returns the daemons of other regions.
+func (d *RegistryDaemon) remoteFeedPeers() map[string][]feed.Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return feed.RemotePeers(d.settings.Region, feedCandidates(d.table.Registrations(), &d.buildOptions))
 }
 
 // feedCandidates returns the daemons beside the backend servers of registrations, in their order.
@@ -27,8 +34,10 @@
 		}
 		vm := address.Addr().String()
 		candidates = append(candidates, feed.Candidate{
-			Peer:   feed.Peer{VM: vm, DataCentre: r.DataCentre, Address: net.JoinHostPort(vm, strconv.Itoa(options.PeerPort))},
-			Region: options.Regions[r.DataCentre], Draining: r.Draining,
+			Peer: feed.Peer{
+				VM: vm, DataCentre: r.DataCentre, Region: options.Regions[r.DataCentre], Address: net.JoinHostPort(vm, strconv.Itoa(options.PeerPort)),
+			},
+			Draining: r.Draining,
 		})
 	}
 	return candidates
--- a/internal/daemon/registrypublish.go
+++ b/internal/daemon/registrypublish.go
@@ -61,7 +61,7 @@
 // caller holds mu.
 func (d *RegistryDaemon) mustPublish() bool {
 	if d.snapshot.Load() == nil {
-		return d.fresh || len(d.roster.Load().Near) == 0
+		return d.fresh || len(*d.feedPeers.Load()) == 0
 	}
 	c, _ := d.table.Configuration()
 	return c != d.configurationInForce
@@ -98,7 +98,7 @@
 // holds mu.
 func (d *RegistryDaemon) publish(now time.Time) {
 	d.lastPublish, d.unpublished = now, false
-	d.updateRoster()
+	d.updateFeedPeers()
 	before, next := d.snapshot.Load(), registry.Build(d.table, d.buildOptions)
 	if next == nil {
 		return
--- a/internal/feed/confirm.go
+++ b/internal/feed/confirm.go
@@ -107,9 +107,10 @@
 
 // confirm tells the lease of an update of the store that is about to be applied. It counts once a
 // configuration of its version is in force. A version that another daemon has announced is a newer one
-// that a copy of the store may lack.
+// that a copy of the store may lack, and a read of an era that is not settled shows only what the copy
+// knew.
 func (s *Source) confirm(u registry.Update) {
-	if s.options.Keys == nil || u.ConfirmedAt == 0 {
+	if s.options.Keys == nil || u.ConfirmedAt == 0 || !s.eras.confirms(u.Revision, u.ConfirmedAt) {
 		return
 	}
 	c := keylease.Confirmation{At: u.ConfirmedAt, Configuration: max(s.configurations.version.Load(), s.announced.Load())}
--- a/internal/feed/fetch.go
+++ b/internal/feed/fetch.go
@@ -126,7 +126,7 @@
 	var drawn []Peer
 	for range min(2*furtherSources, len(peers)) {
 		p := peers[rand.IntN(len(peers))]
-		if len(drawn) < furtherSources && p.VM != s.options.Self && !containsVM(asked, p.VM) && !containsVM(drawn, p.VM) {
+		if len(drawn) < furtherSources && !p.Standby && p.VM != s.options.Self && !containsVM(asked, p.VM) && !containsVM(drawn, p.VM) {
 			drawn = append(drawn, p)
 		}
 	}
--- a/internal/feed/frame.go
+++ b/internal/feed/frame.go
@@ -84,7 +84,8 @@
 	// one up to the revision ConfiguredUpTo.
 	Configuration  uint64 `json:"configuration,omitempty"`
 	ConfiguredUpTo uint64 `json:"configuredUpTo,omitempty"`
-	// Reading means that the sender reads the store and its latest call succeeded.
+	// Reading means that the sender reads the store and its latest call succeeded, or without a state
+	// that its first list makes progress.
 	Reading bool `json:"reading,omitempty"`
 	// Complete means that the sender's state has been complete and as new as the store at some time
 	// since its start. AgeMs is the time since then in milliseconds.
@@ -93,6 +94,9 @@
 	// StoreAgeMs is the time in milliseconds since the store was known to answer a reader. It is less
 	// than AgeMs while a change is on its way.
 	StoreAgeMs int64 `json:"storeAgeMs,omitempty"`
+	// Settled means that the era of Revision, if it is not the first one, has lasted so long that reads of
+	// the store show all that was acknowledged.
+	Settled bool `json:"settled,omitempty"`
 	// ConfirmedMs and ConfirmedConfiguration are the latest keylease.Confirmation of the sender, by its
 	// own clock in milliseconds. 0 means no other one than the stream has had, and no other version than
 	// Configuration.
--- a/internal/feed/lease_test.go
+++ b/internal/feed/lease_test.go
@@ -38,6 +38,9 @@
 	return keylease.New(clock, limit, n.configurationInForce)
 }
 
+// newSkewedLease is skewedLease with the limit of all deployments.
+func newSkewedLease(n *regionNode) *keylease.Lease { return skewedLease(n, leaseLimit) }
+
 // configurationInForce returns the version of the node's configuration once it serves.
 func (n *regionNode) configurationInForce() uint64 {
 	if n.source == nil || !n.source.Fresh() {
--- a/internal/feed/source.go
+++ b/internal/feed/source.go
@@ -48,6 +48,9 @@
 	// Peers returns the daemons of the region, this one included, in the order in which they are to
 	// read the store, or nil while none are known. The caller does not change them.
 	Peers func() []Peer
+	// RemotePeers returns the daemons of each other region that has any. Default: nil, and there are
+	// none.
+	RemotePeers func() map[string][]Peer
 	// Apply applies an update and reports whether any of it was new. Calls may be concurrent.
 	Apply func(registry.Update) bool
 	// State returns the full state as changes. Calls may be concurrent.
@@ -81,6 +84,10 @@
 	// fresh is set once the full state has come from a stream or from a read of this daemon. It
 	// stays set.
 	fresh atomic.Bool
+	// eras holds what is known of the present era of the store. heldList is set once this daemon has a
+	// list that counts when the era is settled.
+	eras     *eraState
+	heldList atomic.Bool
 	// confirmed is the last time at which the state was known to be as new as the store, and reached
 	// the last time at which a reader was known to reach the store. They are in nanoseconds since
 	// start.
@@ -122,8 +129,9 @@
 
 // readerRun is one run of a registry.Reader.
 type readerRun struct {
-	reader *registry.Reader
-	cancel context.CancelFunc
+	reader  *registry.Reader
+	started time.Time
+	cancel  context.CancelFunc
 	// lastNeeded is the last time at which there was a reason to read.
 	lastNeeded time.Time
 }
@@ -132,7 +140,7 @@
 func New(options Options) *Source {
 	s := &Source{
 		options: options, start: time.Now(), peekInterval: minPeekInterval, fetchDue: make(chan struct{}, 1),
-		streams: map[string]*stream{}, avoidUntil: map[string]time.Time{}, fetchAfter: map[string]time.Time{},
+		eras: newEraState(), streams: map[string]*stream{}, avoidUntil: map[string]time.Time{}, fetchAfter: map[string]time.Time{},
 	}
 	s.configurations.pacer.bytesPerSecond = transferShare * options.LinkBytesPerSecond
 	s.awaitReaders()
@@ -201,6 +209,7 @@
 	fetches.Go(func() { s.fetchConfigurations(ctx) })
 	for {
 		s.lookForPeers(ctx)
+		s.settleEra(time.Now())
 		s.reconcile(ctx, time.Now())
 		if !pause.For(ctx, reconcileInterval) {
 			break
@@ -234,6 +243,7 @@
 
 // reconcile follows and reads as the place of this daemon demands.
 func (s *Source) reconcile(ctx context.Context, now time.Time) {
+	remote := s.remotePeers()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.noteReader()
@@ -244,12 +254,18 @@
 	wanted := map[string]bool{}
 	for _, peer := range p.readers {
 		wanted[peer.VM] = true
-		s.follow(ctx, now, peer, true)
+		s.follow(ctx, now, peer, true, false)
 	}
 	for _, peer := range p.relays {
 		if !wanted[peer.VM] {
 			wanted[peer.VM] = true
-			s.follow(ctx, now, peer, false)
+			s.follow(ctx, now, peer, false, false)
+		}
+	}
+	for _, peer := range s.remoteSources(remote) {
+		if !wanted[peer.VM] {
+			wanted[peer.VM] = true
+			s.follow(ctx, now, peer, false, true)
 		}
 	}
 	if len(p.relays) == 0 || !s.relayHearsOfStore() {
@@ -258,7 +274,9 @@
 		}
 	}
 	for vm, st := range s.streams {
-		if !wanted[vm] {
+		// What only a daemon of another region has announced is still to be fetched.
+		announces := st.remote && st.configuration.Load() > s.configurations.version.Load()
+		if !wanted[vm] && !announces {
 			st.cancel()
 		}
 	}
@@ -307,7 +325,7 @@
 // holds mu.
 func (s *Source) relayHearsOfStore() bool {
 	for _, st := range s.streams {
-		if !st.reader && st.hearsOfStore(s.elapsed()) {
+		if !st.reader && !st.remote && st.hearsOfStore(s.elapsed()) {
 			return true
 		}
 	}
@@ -349,8 +367,8 @@
 	v.lost = elapsed - time.Duration(s.reached.Load())
 	for _, st := range s.streams {
 		last := st.lastFrame.Load()
-		v.connected = v.connected || last != 0 && elapsed-time.Duration(last) < streamTimeout
-		v.hearsOfStore = v.hearsOfStore || st.hearsOfStore(elapsed)
+		v.connected = v.connected || last != 0 && !st.remote && elapsed-time.Duration(last) < streamTimeout
+		v.hearsOfStore = v.hearsOfStore || !st.remote && st.hearsOfStore(elapsed)
 	}
 	return v
 }
@@ -374,19 +392,21 @@
 }
 
 // follow starts a stream to a peer unless there is one, or another one is about to bring the first
-// full state. The caller holds mu.
-func (s *Source) follow(ctx context.Context, now time.Time, p Peer, reader bool) {
+// full state. remote means that it is followed only for what it knows. The caller holds mu.
+func (s *Source) follow(ctx context.Context, now time.Time, p Peer, reader, remote bool) {
 	if before := s.streams[p.VM]; before != nil {
-		if before.reader == reader {
+		if before.reader == reader && before.remote == remote {
 			return
 		}
 		before.cancel()
-	} else if s.awaitsFirstState(now) {
+	} else if !remote && s.awaitsFirstState(now) {
 		return
 	}
-	s.lastFollow = now
+	if !remote {
+		s.lastFollow = now
+	}
 	ctx, cancel := context.WithCancel(ctx)
-	st := &stream{peer: p, reader: reader, cancel: cancel, complete: s.fresh.Load()}
+	st := &stream{peer: p, reader: reader, remote: remote, cancel: cancel, complete: s.fresh.Load()}
 	s.streams[p.VM] = st
 	if s.options.Keys != nil {
 		go s.pingPeer(ctx, st)
@@ -426,6 +446,14 @@
 	return !s.fresh.Load() && len(s.streams) > 0 && now.Sub(s.lastFollow) < firstStateTimeout
 }
 
+// watchWaitLimit returns the longest time that a watch of the store may wait, 0 for no limit.
+func (s *Source) watchWaitLimit() time.Duration {
+	if s.options.Keys == nil || s.eras.isSettled() {
+		return 0
+	}
+	return settleWatchWait
+}
+
 // setReading starts or stops reading the store. The caller holds mu.
 func (s *Source) setReading(ctx context.Context, now time.Time, needed bool) {
 	switch {
@@ -435,7 +463,11 @@
 		if s.fresh.Load() {
 			after = min(s.completeRevision.Load(), s.configuredRevision.Load())
 		}
-		run := &readerRun{reader: registry.NewReader(s.options.Store, s.options.Log, after, s.applyFromStore, s.announceReader), cancel: cancel, lastNeeded: now}
+		run := &readerRun{
+			reader:  registry.NewReader(s.options.Store, s.options.Log, after, s.applyFromStore, s.announceReader),
+			started: now, cancel: cancel, lastNeeded: now,
+		}
+		run.reader.LimitWait(s.watchWaitLimit)
 		if s.options.Keys != nil {
 			run.reader.ConfirmWith(s.options.Keys.Now)
 		}
--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -21,6 +21,7 @@
 		Revision: s.completeRevision.Load(), ConfiguredUpTo: s.configuredRevision.Load(),
 		Reading: s.storeAvailable(), Complete: s.fresh.Load(), AgeMs: s.Age().Milliseconds(), StoreAgeMs: s.storeAge().Milliseconds(),
 	}
+	out.Settled = registry.EraOf(out.Revision) > 0 && s.eras.isSettledUpTo(out.Revision)
 	s.addConfirmation(&out)
 	// A configuration is added before configuredRevision rises, so it is read after it.
 	out.Configuration = s.configurations.version.Load()
@@ -79,7 +80,17 @@
 // readerAvailable is storeAvailable for callers that hold mu.
 func (s *Source) readerAvailable() bool {
 	confirmed := time.Duration(s.confirmed.Load())
-	return s.reader != nil && s.reader.reader.StoreAvailable() && s.elapsed()-confirmed < receivePatience
+	return s.reader != nil && s.reader.reader.StoreAvailable() && s.elapsed()-confirmed < receivePatience || s.readerBegins()
+}
+
+// readerBegins reports whether this daemon has no state yet, and its first list of the store makes
+// progress. The caller holds mu.
+func (s *Source) readerBegins() bool {
+	if s.reader == nil || s.fresh.Load() || s.reader.reader.Failing() {
+		return false
+	}
+	contact := s.reader.reader.LastContact()
+	return contact.After(s.reader.started) && time.Since(contact) < storeTimeout
 }
 
 // readerCurrent reports whether this daemon reads the store and knows of nothing newer that is on
@@ -101,6 +112,7 @@
 		return
 	}
 	s.noteAnnouncement(st, f.Status.Configuration)
+	s.noteStatusOfEra(st, f.Status) // after the announcement, which the daemon has heard by then
 	s.noteConfirmation(st, f.Status)
 	if st.complete {
 		r := &receivedStatus{*f.Status, elapsed}
@@ -110,6 +122,19 @@
 	s.announceConfirmation()
 }
 
+// noteStatusOfEra takes what a status says of the era of the store. While this daemon has no state, a
+// reader that has none either, and that the store answers, is reason enough for others not to read.
+func (s *Source) noteStatusOfEra(st *stream, status *status) {
+	s.noteEra(&registry.Update{Revision: status.Revision})
+	if status.Settled {
+		s.eras.adopt(registry.EraOf(status.Revision), s.confirmationClock())
+	}
+	s.eras.noteRegion(st.peer.Region)
+	if !st.remote && status.Reading && !status.Complete && !s.fresh.Load() {
+		raise(&s.reached, int64(s.elapsed()-status.storeAge()))
+	}
+}
+
 // noteAnnouncement notes the configuration that another daemon has, and has it fetched if it is
 // newer than that of this daemon.
 func (s *Source) noteAnnouncement(st *stream, version uint64) {
@@ -192,6 +217,8 @@
 // applyFromStore applies an update that this daemon has read, which has all changes up to its
 // revision.
 func (s *Source) applyFromStore(u registry.Update) {
+	s.noteEra(&u)
+	s.holdFresh(&u)
 	s.apply(u)
 	raise(&s.configuredRevision, u.Revision)
 }
@@ -203,6 +230,7 @@
 // must not say so before the other one has queued it. A full list of the store goes to all followers
 // even if it changed nothing here: it may end what only they still have.
 func (s *Source) apply(u registry.Update) {
+	s.noteEra(&u)
 	s.applyMu.Lock()
 	defer s.applyMu.Unlock()
 	s.confirm(u)
--- a/internal/feed/stream.go
+++ b/internal/feed/stream.go
@@ -25,6 +25,9 @@
 	peer Peer
 	// reader is set if the peer is followed because it reads the store.
 	reader bool
+	// remote is set if the peer is of another region and followed for what it knows. It is not relied on to
+	// hear of the store.
+	remote bool
 	// lastFrame is the time of the last frame in nanoseconds since the start of the Source. 0 means
 	// never.
 	lastFrame atomic.Int64
--- a/internal/feed/tree.go
+++ b/internal/feed/tree.go
@@ -42,10 +42,10 @@
 // everyone is a number of readers that no region has.
 const everyone = math.MaxInt
 
-// Peer is a daemon that can be followed: the id of its VM, its data centre and the host:port of its
-// peer listener.
+// Peer is a daemon that can be followed: the id of its VM, its data centre and region, and the host:port
+// of its peer listener.
 type Peer struct {
-	VM, DataCentre, Address string
+	VM, DataCentre, Region, Address string
 	// Standby means that the daemon's backend server is leaving or no longer registered. It reads after
 	// all others and is no relay.
 	Standby bool
--- a/internal/registry/confirmation.go
+++ b/internal/registry/confirmation.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/keylease"
@@ -25,6 +26,8 @@
 type confirmations struct {
 	// clock is nil if no confirmations are needed.
 	clock keylease.Clock
+	// limit returns the longest time that a watch may wait, 0 for no limit. It may be nil.
+	limit func() time.Duration
 	// latest is the moment as of which the store has last confirmed its content, 0 before.
 	latest time.Duration
 	// untrustedUntil is the time until which empty responses to watches count as of their call only.
@@ -41,11 +44,15 @@
 
 // watchWait returns how long the next watch is to wait.
 func (c *confirmations) watchWait() time.Duration {
+	longest := watchWait
+	if c.limit != nil {
+		longest = min(longest, cmp.Or(c.limit(), watchWait))
+	}
 	if c.latest == 0 {
-		return watchWait
+		return longest
 	}
 	age := c.clock() - c.latest
-	return max(min(watchWait, maxConfirmedAge-age), minWatchWait).Truncate(time.Millisecond)
+	return max(min(longest, maxConfirmedAge-age), minWatchWait).Truncate(time.Millisecond)
 }
 
 // ofCall returns the moment as of which a response holds: the begin of its call. What the store had
--- a/internal/registry/reader.go
+++ b/internal/registry/reader.go
@@ -132,6 +132,10 @@
 // where the latest one would become too old otherwise. It must be called before Run.
 func (r *Reader) ConfirmWith(clock keylease.Clock) { r.confirmations.clock = clock }
 
+// LimitWait makes the reader ask before each watch how long that may wait, 0 for no limit. It must be
+// called before Run.
+func (r *Reader) LimitWait(limit func() time.Duration) { r.confirmations.limit = limit }
+
 // LastContact returns the time at which the store was last known to answer. Any goroutine may call
 // it.
 func (r *Reader) LastContact() time.Time { return r.start.Add(time.Duration(r.lastContact.Load())) }
