Guard the daemons of a test region, which are replaced while they run

The race detector reported the map that region.add writes at a restart of a daemon, beside the streams and the store that read it.

--- a/internal/feed/region_store_test.go
+++ b/internal/feed/region_store_test.go
@@ -29,7 +29,7 @@
 		return err
 	}
 	wait := storeLatency * time.Duration(calls)
-	if n := s.region.nodes[s.vm]; n != nil && n.cutOff.Load() {
+	if n := s.region.node(s.vm); n != nil && n.cutOff.Load() {
 		wait = callTimeout
 	}
 	select {
@@ -102,7 +102,7 @@
 	if err == nil {
 		err = s.region.transfer(ctx, changes, progress)
 	}
-	if n := s.region.nodes[s.vm]; err == nil && n != nil && !n.awaitRelease(ctx) {
+	if n := s.region.node(s.vm); err == nil && n != nil && !n.awaitRelease(ctx) {
 		err = ctx.Err()
 	}
 	return changes, revision, err
--- a/internal/feed/region_test.go
+++ b/internal/feed/region_test.go
@@ -36,8 +36,10 @@
 	calls, looks, probes atomic.Int64
 	// refused holds the VMs whose calls the store refuses, unanswered those that it does not answer.
 	refused, unanswered sync.Map
-	nodes               map[string]*regionNode
-	names               []string
+	// nodes is written with nodesMu held. Daemons and the store use node; the test reads it directly.
+	nodesMu sync.RWMutex
+	nodes   map[string]*regionNode
+	names   []string
 	// linkBytesPerSecond is the bandwidth of each VM's link. 0 means unlimited.
 	linkBytesPerSecond int64
 	// away is true while the store is there for nobody.
@@ -109,9 +111,18 @@
 		State:       func() []registry.Change { n.mu.Lock(); defer n.mu.Unlock(); return n.table.Changes() },
 		RemovalHold: func() time.Duration { return 0 }, LinkBytesPerSecond: float64(r.linkBytesPerSecond), Keys: n.lease, Log: telemetry.Discard(),
 	})
+	r.nodesMu.Lock()
+	defer r.nodesMu.Unlock()
 	r.nodes[vm] = n
 }
 
+// node returns the present daemon of a VM, or nil.
+func (r *region) node(vm string) *regionNode {
+	r.nodesMu.RLock()
+	defer r.nodesMu.RUnlock()
+	return r.nodes[vm]
+}
+
 func (n *regionNode) start() {
 	ctx, stop := context.WithCancel(context.Background())
 	n.stop = stop
@@ -199,7 +210,7 @@
 
 // RoundTrip implements http.RoundTripper with a stream of another daemon of the region.
 func (n *regionNode) RoundTrip(req *http.Request) (*http.Response, error) {
-	to := n.region.nodes[req.URL.Host]
+	to := n.region.node(req.URL.Host)
 	if to == nil || !to.started.Load() || to.killed.Load() {
 		return nil, errors.New("connection refused")
 	}
