Let a request without a route wait for the configuration that arrives

Cause: entry refused it for now (503 in place of 404) while the feed counted as outdated, and that is so from the first byte of any response to a watch until it is applied, whatever it brings.

Change: such a request waits for up to 0.1 s until the configuration counts as up to date, and is decided by the one in force then. At most 256 wait at once. If it takes longer, 503 is the answer as before.

Measured: TestMissingRouteWaitsForTheConfigurationThatArrives fails before with 503 for a route that was removed.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -156,8 +156,10 @@
 	queueing      *queueing
 	startWaiter   *startWaiter
 	outdated      func() bool
-	use           organisationUse
-	keysTrusted   func() bool
+	// outdatedWaiting holds an item for each request that waits for a newer configuration.
+	outdatedWaiting chan struct{}
+	use             organisationUse
+	keysTrusted     func() bool
 }
 
 // New returns an Entry with the given options.
@@ -195,7 +197,7 @@
 	o.Balance.VM, o.Balance.Locality, o.Balance.Random, o.Balance.Now = o.VM, o.Locality, rand.NewPCG(o.Seed, o.Seed), time.Now()
 	return &Entry{
 		dialect: o.Dialect, originService: o.OriginService, confirm: o.Confirm, maxWait: o.MaxWait, queueing: newQueueing(o.Admission, o.Seed),
-		startWaiter: newStartWaiter(o.Configured), outdated: o.Outdated, keysTrusted: o.KeysTrusted,
+		startWaiter: newStartWaiter(o.Configured), outdated: o.Outdated, outdatedWaiting: make(chan struct{}, maxOutdatedWaiting), keysTrusted: o.KeysTrusted,
 		vm: o.VM, region: o.Locality.Region, snapshot: o.Snapshot, transport: o.Transport,
 		incarnation: o.Incarnation, memory: o.Memory, operationBodies: operation.NewUploadBudget(maxOperationBodiesBytes),
 		heldResponses: holdBudget{limit: maxHeldBytes},
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -1,18 +1,60 @@
 package entry
 
 import (
+	"context"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cowsliprun/cowsliprun/internal/catalog"
 	"github.com/cowsliprun/cowsliprun/internal/dialect"
 	"github.com/cowsliprun/cowsliprun/internal/errkind"
+	"github.com/cowsliprun/cowsliprun/internal/pause"
 )
 
-// matchContract finds the customer, the route and the service of a request.
+// While the configuration is outdated, requests without a route wait for the newer one, which mostly
+// is there within milliseconds.
+const (
+	outdatedWait = 100 * time.Millisecond
+	// outdatedPoll is the time between two looks for it.
+	outdatedPoll = 2 * time.Millisecond
+	// maxOutdatedWaiting bounds the requests that wait at the same time. Further ones are refused.
+	maxOutdatedWaiting = 256
+)
+
+// matchContract finds the customer, the route and the service of a request. One without a route waits
+// for a newer configuration that is on its way.
 func (e *Entry) matchContract(r *http.Request, caller dialect.Caller, path string) (*call, error) {
+	c, err := e.matchPresent(r, caller, path)
+	if errkind.Of(err) == errkind.NoConfiguration && e.snapshot() != nil && e.awaitNewer(r.Context()) {
+		return e.matchPresent(r, caller, path)
+	}
+	return c, err
+}
+
+// awaitNewer waits until the configuration is no longer outdated, and reports whether it came to that.
+func (e *Entry) awaitNewer(ctx context.Context) bool {
+	select {
+	case e.outdatedWaiting <- struct{}{}:
+	default:
+		return false
+	}
+	defer func() { <-e.outdatedWaiting }()
+	for waited := time.Duration(0); waited < outdatedWait; waited += outdatedPoll {
+		if !e.outdated() {
+			return true
+		}
+		if !pause.For(ctx, outdatedPoll) {
+			return false
+		}
+	}
+	return !e.outdated()
+}
+
+// matchPresent is matchContract by the configuration in force.
+func (e *Entry) matchPresent(r *http.Request, caller dialect.Caller, path string) (*call, error) {
 	snapshot := e.snapshot()
 	if snapshot == nil {
 		return nil, errkind.New(errkind.NoConfiguration, "this daemon has no configuration yet")
--- a/internal/entry/startwait_test.go
+++ b/internal/entry/startwait_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -103,3 +104,45 @@
 		t.Errorf("up to date: status %d", w.Code)
 	}
 }
+
+// Guards against a refusal for now for a route that was removed, or added, just because a response of
+// the store is being read: of what is there within milliseconds the caller gets the outcome.
+func TestMissingRouteWaitsForTheConfigurationThatArrives(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		added bool
+		want  int
+	}{{"nothing new arrives", false, http.StatusNotFound}, {"the route arrives", true, http.StatusServiceUnavailable}} {
+		synctest.Test(t, func(t *testing.T) {
+			table := registry.NewTable()
+			publish := func(version uint64, prefixes ...string) *catalog.Snapshot {
+				var routes []registry.Route
+				for _, prefix := range prefixes {
+					routes = append(routes, registry.Route{Host: "shop.example", PathPrefix: prefix, Parts: []catalog.WeightedService{{Service: "stock", Weight: 1}}})
+				}
+				table.Apply(time.Now(), []registry.Change{{Key: "config", Revision: version, Configuration: &registry.Configuration{Version: version, Routes: routes}}})
+				return registry.Build(table, registry.BuildOptions{})
+			}
+			var snapshot atomic.Pointer[catalog.Snapshot]
+			var outdated atomic.Bool
+			snapshot.Store(publish(1, "/a/"))
+			outdated.Store(true)
+			e := entry.New(entry.Options{VM: "vm1", Snapshot: snapshot.Load, Outdated: outdated.Load})
+			go func() {
+				time.Sleep(30 * time.Millisecond)
+				if c.added {
+					snapshot.Store(publish(2, "/a/", "/b/"))
+				}
+				outdated.Store(false)
+			}()
+			begin := time.Now()
+			w := sendRequest(e, "GET", "http://shop.example/b/", "")
+			if w.Code != c.want || c.added && !strings.Contains(w.Body.String(), "no backend servers") {
+				t.Errorf("%s: status %d: %s", c.name, w.Code, w.Body.String())
+			}
+			if waited := time.Since(begin); waited > 50*time.Millisecond {
+				t.Errorf("%s: the answer took %v", c.name, waited)
+			}
+		})
+	}
+}
