Deliver the answer on a connection that is accepted during a drain

A caller that had opened its connection just before a planned stop, and sent more requests behind the first, lost the end of its answer to a reset.

Cause: a connection taken from the accept queue after the drain has begun was not wrapped, so its close did not wait for what was sent. Ruled out: the end of the wait for the peer, which takes 1 s.

Change: such connections are wrapped too. They take no place within the limit and give none back.

--- a/internal/listener/conn.go
+++ b/internal/listener/conn.go
@@ -31,6 +31,8 @@
 type conn struct {
 	*net.TCPConn
 	listener *Listener
+	// hasPlace is set if the connection takes a place within the limit.
+	hasPlace bool
 	arrivals arrivals
 	// closed is set by the first Close, abortive by SetLinger(0).
 	closed, abortive atomic.Bool
@@ -86,12 +88,12 @@
 		return net.ErrClosed
 	}
 	if unread, unsent := c.queued(); c.abortive.Load() || unread == 0 && unsent == 0 {
-		defer c.listener.release()
+		defer c.release()
 		return c.TCPConn.Close()
 	}
 	c.listener.lingering.Add(1)
 	go func() {
-		defer c.listener.release()
+		defer c.release()
 		defer c.listener.lingering.Add(-1)
 		c.linger()
 		c.TCPConn.Close() //nolint:errcheck // nobody is left to be told
@@ -99,6 +101,13 @@
 	return nil
 }
 
+// release frees the place of the connection, if it takes one.
+func (c *conn) release() {
+	if c.hasPlace {
+		c.listener.release()
+	}
+}
+
 // linger sends a FIN and discards what arrives until the peer closes the connection, has taken
 // nothing more for lingerTime, or lingerLimit has passed.
 func (c *conn) linger() {
--- a/internal/listener/linger_test.go
+++ b/internal/listener/linger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -63,3 +64,42 @@
 		t.Error("the wait lasted until the end of its context")
 	}
 }
+
+// Guards against a caller that loses the end of its answer because its connection was still in the
+// accept queue when the drain began: with unread requests behind the answer, the close resets the
+// connection, unless it lingers like those that were accepted before.
+func TestConnectionAcceptedDuringDrainDeliversItsAnswer(t *testing.T) {
+	const size = 4 << 20
+	for range 5 {
+		l := listen(t, 1)
+		client := dial(t, l)
+		client.Write(make([]byte, 1000)) //nolint:errcheck // requests sent ahead, which stay unread
+		drained := make(chan struct{})
+		go func() {
+			defer close(drained)
+			l.Drain(t.Context())
+		}()
+		<-l.draining // before the first Accept
+		server, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			server.Write(make([]byte, size)) //nolint:errcheck // the peer judges
+			server.Close()                   //nolint:errcheck // as above
+		}()
+		for {
+			if _, err := l.Accept(); err != nil {
+				break
+			}
+		}
+		<-drained
+		client.SetReadDeadline(time.Now().Add(20 * time.Second)) //nolint:errcheck // the read fails then
+		if n, err := io.Copy(io.Discard, client); err != nil || n != size {
+			t.Errorf("%d of %d bytes of the answer arrived, and then %v", n, size, err)
+		}
+		if len(l.slots) != 0 {
+			t.Errorf("%d places are taken after the end of all connections", len(l.slots))
+		}
+	}
+}
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -64,7 +64,7 @@
 	}
 	c, err := l.inner.Accept()
 	if err == nil {
-		return l.track(c), nil
+		return l.track(c, true), nil
 	}
 	l.release()
 	if l.isDraining() {
@@ -122,12 +122,13 @@
 	}
 }
 
-// track returns a connection whose Close frees its place within the limit.
-func (l *Listener) track(c net.Conn) net.Conn {
+// track returns a connection whose Close delivers what was sent, and frees its place within the limit if
+// it takes one.
+func (l *Listener) track(c net.Conn, hasPlace bool) net.Conn {
 	if l.slots == nil {
 		return c
 	}
-	return &conn{TCPConn: c.(*net.TCPConn), listener: l}
+	return &conn{TCPConn: c.(*net.TCPConn), listener: l, hasPlace: hasPlace}
 }
 
 // acceptWaiting returns the next connection of the accept queue without waiting. If there is none,
@@ -141,7 +142,7 @@
 		}
 		return nil, err
 	}
-	return c, nil
+	return l.track(c, false), nil
 }
 
 // takeWaiting accepts a connection that waits. If there is none, it stops listening and returns an
