Keep the header of an answer from its interim responses

Cause: the home sent interim responses with the header map of its handler and went on to fill it. When the entry cancels the stream, net/http returns from the interim response while its writing goroutine may still read that map. Ruled out: writes after the final response, of which the server has a copy.

Change: forward.Answer keeps the header of the final response in a map of its own until that is sent, and is all that the home can write to. It works since the server has no map before. forward.Copy does not use its buffer again after a failed write, as the server may still send it.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -281,7 +281,6 @@
 // arrives. An error of w wraps ErrWrite; other errors are those of body.
 func Copy(w http.ResponseWriter, body io.Reader, observe func([]byte)) error {
 	buf := buffers.Get().(*[]byte)
-	defer buffers.Put(buf)
 	flusher, _ := w.(http.Flusher)
 	if _, inMemory := body.(interface{ Len() int }); inMemory {
 		flusher = nil // one write reaches the connection at once when the handler returns
@@ -293,13 +292,15 @@
 				observe((*buf)[:n])
 			}
 			if _, writeErr := w.Write((*buf)[:n]); writeErr != nil {
+				// The server may still send the buffer of a stream that has ended, so it is not used again.
 				return fmt.Errorf("%w: %w", ErrWrite, writeErr)
 			}
 		}
-		if err == io.EOF {
-			return nil
-		}
 		if err != nil {
+			buffers.Put(buf)
+			if err == io.EOF {
+				return nil
+			}
 			return err
 		}
 		if flusher != nil {
--- a/internal/home/home.go
+++ b/internal/home/home.go
@@ -153,7 +153,8 @@
 // ServeHTTP serves one request from an entry. Responses carry the protocol headers of package
 // forward. If a response fails after its header was sent, ServeHTTP panics with
 // http.ErrAbortHandler.
-func (h *Home) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (h *Home) ServeHTTP(writer http.ResponseWriter, r *http.Request) {
+	w := forward.NewAnswer(writer)
 	w.Header().Set(forward.HeaderRequestID, r.Header.Get(forward.HeaderRequestID))
 	w.Header().Set(forward.HeaderVM, h.vm)
 	m := h.member(r.Header.Get(forward.HeaderBackend))
@@ -164,7 +165,7 @@
 	h.recordBaseline(m, r)
 	confirm := r.Header.Get(forward.HeaderConfirm) != ""
 	if confirm {
-		w.WriteHeader(http.StatusProcessing)
+		w.Interim(http.StatusProcessing)
 	}
 	remaining, ok := forward.Deadline(r.Header)
 	if !ok {
@@ -194,13 +195,13 @@
 
 // receiveBody prepares the body of an admitted request. An entry that asks for confirmation sends
 // the end of each request only now, and the request is not handed over before that end has arrived.
-func receiveBody(ctx context.Context, w http.ResponseWriter, r *http.Request, confirm bool) error {
+func receiveBody(ctx context.Context, w *forward.Answer, r *http.Request, confirm bool) error {
 	if !confirm {
 		forward.ReceiveRequest(r)
 		return nil
 	}
 	// net/http does not ask for the body by itself once another interim response was sent.
-	w.WriteHeader(http.StatusContinue)
+	w.Interim(http.StatusContinue)
 	if err := forward.ReceiveBuffered(r, maxConfirmedBodyBytes); err != nil {
 		return errkind.Wrap(errkind.RequestBroken, err, "the request body was truncated before it was handed over")
 	}
