--- a/internal/feed/state.go
+++ b/internal/feed/state.go
@@ -217,7 +217,6 @@
 // applyFromStore applies an update that this daemon has read, which has all changes up to its
 // revision.
 func (s *Source) applyFromStore(u registry.Update) {
-	s.noteEra(&u)
 	s.holdFresh(&u)
 	s.apply(u)
 	raise(&s.configuredRevision, u.Revision)
