Find the peers of a test region only when they are asked for

Each change built the order anew at each daemon of a region of up to 600, which made the package slow beside the race detector. NearPeers sizes its set of VMs.

--- a/internal/feed/peers.go
+++ b/internal/feed/peers.go
@@ -14,7 +14,7 @@
 // store, so they and those of leaving servers come last. If none of the region is known, the registered
 // ones of all regions take their place.
 func NearPeers(region string, registered, former []Candidate) []Peer {
-	near := newPeerList()
+	near := newPeerList(len(registered))
 	near.addRegistered(registered, func(c *Candidate) bool { return c.Region == region })
 	for i := range former {
 		if former[i].Region == region {
@@ -35,7 +35,7 @@
 		if other == region || remote[other] != nil {
 			continue
 		}
-		list := newPeerList()
+		list := newPeerList(len(registered))
 		list.addRegistered(registered, func(c *Candidate) bool { return c.Region == other })
 		remote[other] = list.peers
 	}
@@ -48,7 +48,7 @@
 	seen  map[string]bool
 }
 
-func newPeerList() *peerList { return &peerList{seen: map[string]bool{}} }
+func newPeerList(size int) *peerList { return &peerList{seen: make(map[string]bool, size)} }
 
 // addRegistered adds the included candidates, those of leaving servers last.
 func (l *peerList) addRegistered(registered []Candidate, include func(*Candidate) bool) {
--- a/internal/feed/region_test.go
+++ b/internal/feed/region_test.go
@@ -71,7 +71,9 @@
 
 	mu    sync.Mutex
 	table *registry.Table
-	peers []Peer
+	// peers are those of the table, unless it has changed since.
+	peers   []Peer
+	changed bool
 }
 
 // newRegion returns a region of which no backend server is registered and no daemon runs yet.
@@ -165,6 +167,9 @@
 func (n *regionNode) knownPeers() []Peer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.changed {
+		n.peers, n.changed = NearPeers(regionOf(n.vm), candidatesOf(n.table.Registrations()), candidatesOf(n.table.Former())), false
+	}
 	return n.peers
 }
 
@@ -184,15 +189,13 @@
 		changed = n.table.Apply(time.Now(), u.Changes)
 		n.table.SetComplete(u.Revision)
 	}
-	if changed {
-		n.peers = NearPeers(regionOf(n.vm), candidatesOf(n.table.Registrations()), candidatesOf(n.table.Former()))
-	}
+	n.changed = n.changed || changed
 	return changed
 }
 
 // candidatesOf returns the daemons beside registered backend servers.
 func candidatesOf(registrations []*registry.Registration) []Candidate {
-	var out []Candidate
+	out := make([]Candidate, 0, len(registrations))
 	for _, r := range registrations {
 		out = append(out, Candidate{Peer{VM: r.ID, DataCentre: dataCentreOf(r.ID), Region: regionOf(r.ID), Address: r.ID}, r.Draining})
 	}
